--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,89 @@
+// Package cli holds the commands of the bramleylever binary.
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes of the commands.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	// ExitUsage reports a wrong flag, argument or settings file.
+	ExitUsage = 2
+	// ExitUnconfirmed reports a change that was accepted but is not yet in
+	// force on every host.
+	ExitUnconfirmed = 3
+	// ExitConflict reports a change that lost against another operator's.
+	ExitConflict = 4
+)
+
+// ExitError is an error with the exit code that it leads to.
+type ExitError struct {
+	Code int
+	Err  error
+}
+
+// Error returns the message of the wrapped error.
+func (e *ExitError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the wrapped error.
+func (e *ExitError) Unwrap() error { return e.Err }
+
+// environment is what a command reads from and writes to.
+type environment struct {
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+}
+
+// Run executes one command line and returns the exit code.
+func Run(args []string, in io.Reader, out, errOut io.Writer) int {
+	root := newRoot(environment{in: in, out: out, err: errOut})
+	root.SetArgs(args)
+	err := root.Execute()
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(errOut, "bramleylever:", err)
+	var exit *ExitError
+	if errors.As(err, &exit) {
+		return exit.Code
+	}
+	return ExitFailure
+}
+
+func newRoot(env environment) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "bramleylever",
+		Short:         "PostgreSQL proxy with session consistency",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetIn(env.in)
+	root.SetOut(env.out)
+	root.SetErr(env.err)
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return &ExitError{Code: ExitUsage, Err: err}
+	})
+	root.AddCommand(newVersion(env))
+	return root
+}
+
+// Version is the release; builds set it with -ldflags.
+var Version = "0.1.0-dev"
+
+func newVersion(env environment) *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run: func(*cobra.Command, []string) {
+			fmt.Fprintln(env.out, Version)
+		},
+	}
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// maxReconnectDelay keeps a returning peer reachable within a second.
+const maxReconnectDelay = time.Second
+
+// maxMessageBytes admits a snapshot of all records at the target size.
+const maxMessageBytes = 16 << 20
+
+// Pool keeps one gRPC connection per peer address.
+type Pool struct {
+	options []grpc.DialOption
+
+	mu     sync.Mutex
+	conns  map[string]*grpc.ClientConn
+	closed bool
+}
+
+// NewPool returns a pool that dials with the given options in addition to its
+// defaults.
+func NewPool(options ...grpc.DialOption) *Pool {
+	defaults := []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  50 * time.Millisecond,
+				Multiplier: 2,
+				Jitter:     0.2,
+				MaxDelay:   maxReconnectDelay,
+			},
+			MinConnectTimeout: maxReconnectDelay,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithNoProxy(),
+	}
+	return &Pool{
+		options: append(defaults, options...),
+		conns:   map[string]*grpc.ClientConn{},
+	}
+}
+
+// Conn returns the connection to an address, which is opened on first use.
+func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, fmt.Errorf("connect: peer %s: pool is closed", address)
+	}
+	if conn, ok := p.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, p.options...)
+	if err != nil {
+		return nil, fmt.Errorf("connect: peer %s: %w", address, err)
+	}
+	p.conns[address] = conn
+	return conn, nil
+}
+
+// Forget closes the connection to an address that left.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	conn, ok := p.conns[address]
+	delete(p.conns, address)
+	p.mu.Unlock()
+	if ok {
+		_ = conn.Close()
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	var errs []error
+	for _, conn := range p.conns {
+		errs = append(errs, conn.Close())
+	}
+	clear(p.conns)
+	return errors.Join(errs...)
+}
+
+// CallTimeout bounds a call to a peer unless the caller's context is shorter.
+const CallTimeout = time.Second
+
+// Call runs one call with CallTimeout.
+func Call[T any](ctx context.Context, call func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	return call(ctx)
+}
--- /dev/null
+++ b/scripts/tools.sh
@@ -0,0 +1,32 @@
+#!/usr/bin/env bash
+# Installs the pinned development tools into the Go binary directory.
+# Usage: scripts/tools.sh lint | generate
+set -euo pipefail
+
+golangci_version=2.15.0
+buf_version=1.75.0
+
+bin="$(go env GOPATH)/bin"
+
+install_lint() {
+  if "$bin/golangci-lint" version 2>/dev/null | grep -q "version v\?${golangci_version//./\\.}"; then
+    return
+  fi
+  GOBIN="$bin" go install "github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v$golangci_version"
+}
+
+install_generate() {
+  if [ "$("$bin/buf" --version 2>/dev/null)" = "$buf_version" ]; then
+    return
+  fi
+  GOBIN="$bin" go install "github.com/bufbuild/buf/cmd/buf@v$buf_version"
+}
+
+case "${1:-}" in
+  lint) install_lint ;;
+  generate) install_generate ;;
+  *)
+    echo "usage: scripts/tools.sh lint | generate" >&2
+    exit 2
+    ;;
+esac
