--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -49,6 +49,9 @@
 // AttachGoZero sends go-zero's log lines through logger and turns its
 // periodic statistics off.
 func AttachGoZero(logger *zap.Logger) {
+	// The first SetUp of a process installs a console writer; later ones do
+	// nothing, so ours stays.
+	_ = logx.SetUp(logx.LogConf{Mode: "console", Level: "info"})
 	logx.SetWriter(goZeroWriter{logger.Named("go-zero").Sugar()})
 	logx.DisableStat()
 }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,200 @@
+// Package settings reads a proxy's settings file: JSON through go-zero's conf,
+// with unknown fields and values out of range refused by their path.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/conf"
+)
+
+// Settings are those of one proxy process.
+type Settings struct {
+	// Host is the unique name of this host.
+	Host string `json:"host"`
+	// FailureDomain is the one that this host stands in.
+	FailureDomain string `json:"failure_domain"`
+	// FailureDomains are all of the deployment, this host's included.
+	FailureDomains []string  `json:"failure_domains"`
+	Listen         Listen    `json:"listen"`
+	Platform       Platform  `json:"platform"`
+	Peers          Peers     `json:"peers"`
+	Backend        Backend   `json:"backend"`
+	TLS            TLS       `json:"tls"`
+	Log            Log       `json:"log"`
+	Routing        Routing   `json:"routing"`
+	Limits         Limits    `json:"limits"`
+	Drain          DrainTime `json:"drain"`
+}
+
+// Listen holds the addresses, each an IP address and a port; port 0 lets the
+// kernel choose.
+type Listen struct {
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	Admin   string `json:"admin"`
+}
+
+// Platform says where the key-value service is.
+type Platform struct {
+	// Endpoints are IP addresses with ports, tried in order.
+	Endpoints []string      `json:"endpoints"`
+	Timeout   time.Duration `json:"timeout,default=1s"`
+}
+
+// Peers says how to reach other proxies.
+type Peers struct {
+	// Seeds are peer addresses to join through and to take the configuration
+	// from while the platform is down.
+	Seeds []string `json:"seeds,optional"`
+}
+
+// Backend holds the proxy's own credentials towards backend servers.
+type Backend struct {
+	User            string `json:"user"`
+	Password        string `json:"password,optional"`
+	PasswordFile    string `json:"password_file,optional"`
+	ControlPassword string `json:"control_password,optional"`
+	// SourceAddress is the local IP address of outgoing connections; empty
+	// lets the kernel choose.
+	SourceAddress  string        `json:"source_address,optional"`
+	ConnectTimeout time.Duration `json:"connect_timeout,default=1s"`
+}
+
+// TLS holds the certificate that callers see; without one, TLS is refused.
+type TLS struct {
+	CertificateFile string `json:"certificate_file,optional"`
+	KeyFile         string `json:"key_file,optional"`
+}
+
+// Log says what is logged.
+type Log struct {
+	Level string `json:"level,default=info"`
+	// RoutingSample logs one of so many routing decisions; 1 logs each, 0
+	// none. Placement, failover, key and record changes are always logged.
+	RoutingSample int `json:"routing_sample,default=1"`
+}
+
+// Routing says how replicas are chosen and how long requests wait.
+type Routing struct {
+	Policy string `json:"policy,default=power_of_two"`
+	// GuardWait is how long a read waits on a replica for the session's
+	// position before it goes to the primary.
+	GuardWait time.Duration `json:"guard_wait,default=20ms"`
+	// ReplicateWait is how long a commit waits for a majority before its
+	// outcome is reported as unknown.
+	ReplicateWait time.Duration `json:"replicate_wait,default=5s"`
+	// QueueWait is how long a request waits for a primary or a connection
+	// before it is refused as not run.
+	QueueWait time.Duration `json:"queue_wait,default=5s"`
+}
+
+// Limits bound what callers can make this host keep.
+type Limits struct {
+	Connections   int `json:"connections,default=6000"`
+	MessageBytes  int `json:"message_bytes,default=16777216"`
+	QueueRequests int `json:"queue_requests,default=1000"`
+	QueueBytes    int `json:"queue_bytes,default=8388608"`
+}
+
+// DrainTime bounds a graceful shutdown.
+type DrainTime struct {
+	// ReadinessDelay lets the balancer see that this host is not ready before
+	// connections are refused.
+	ReadinessDelay time.Duration `json:"readiness_delay,default=3s"`
+	Timeout        time.Duration `json:"timeout,default=60s"`
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	s, err := Parse(content)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse checks settings in JSON. Errors name the path of each wrong field.
+func Parse(content []byte) (Settings, error) {
+	var s Settings
+	if err := refuseUnknown(content, &s); err != nil {
+		return Settings{}, err
+	}
+	if err := conf.LoadFromJsonBytes(content, &s); err != nil {
+		return Settings{}, err
+	}
+	if err := s.check(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+func (s *Settings) check() error {
+	var errs []error
+	fail := func(path, format string, args ...any) {
+		errs = append(errs, fmt.Errorf("%s: %s", path, fmt.Sprintf(format, args...)))
+	}
+	if s.Host == "" {
+		fail("host", "must not be empty")
+	}
+	if !slices.Contains(s.FailureDomains, s.FailureDomain) {
+		fail("failure_domain", "%q is not listed in failure_domains", s.FailureDomain)
+	}
+	address := func(path, value string) {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			fail(path, "%q is not an IP address with a port", value)
+		}
+	}
+	address("listen.callers", s.Listen.Callers)
+	address("listen.peers", s.Listen.Peers)
+	address("listen.admin", s.Listen.Admin)
+	if len(s.Platform.Endpoints) == 0 {
+		fail("platform.endpoints", "must name at least one address")
+	}
+	for i, endpoint := range s.Platform.Endpoints {
+		address(fmt.Sprintf("platform.endpoints[%d]", i), endpoint)
+	}
+	for i, seed := range s.Peers.Seeds {
+		address(fmt.Sprintf("peers.seeds[%d]", i), seed)
+	}
+	if s.Backend.User == "" {
+		fail("backend.user", "must not be empty")
+	}
+	if s.Backend.Password != "" && s.Backend.PasswordFile != "" {
+		fail("backend.password_file", "excludes backend.password")
+	}
+	if source := s.Backend.SourceAddress; source != "" {
+		if _, err := netip.ParseAddr(source); err != nil {
+			fail("backend.source_address", "%q is not an IP address", source)
+		}
+	}
+	for _, n := range s.numbers() {
+		if n.value < n.min || n.value > n.max {
+			fail(n.path, "%d is not between %d and %d", n.value, n.min, n.max)
+		}
+	}
+	for _, c := range s.choices() {
+		if !slices.Contains(c.allowed, c.value) {
+			fail(c.path, "%q is not one of %s", c.value, strings.Join(c.allowed, ", "))
+		}
+	}
+	for _, d := range s.durations() {
+		if d.value < d.min || d.value > d.max {
+			fail(d.path, "%s is not between %s and %s", d.value, d.min, d.max)
+		}
+	}
+	if (s.TLS.CertificateFile == "") != (s.TLS.KeyFile == "") {
+		fail("tls", "certificate_file and key_file must be set together")
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,62 @@
+package settings_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleylever/bramleylever/internal/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+const minimal = `{
+  "host": "h1", "failure_domain": "a", "failure_domains": ["a", "b"],
+  "listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "admin": "127.0.0.1:0"},
+  "platform": {"endpoints": ["127.0.0.1:2379"]},
+  "backend": {"user": "proxy", "password": "p"}%s
+}`
+
+func withExtra(extra string) []byte {
+	return []byte(minimal[:len(minimal)-4] + extra + "\n}")
+}
+
+var _ = Describe("Parse", func() {
+	// Guards against defaults that the configuration page does not state.
+	It("fills the defaults", func() {
+		s, err := settings.Parse(withExtra(""))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Platform.Timeout).To(Equal(time.Second))
+		Expect(s.Drain.Timeout).To(Equal(time.Minute))
+		Expect(s.Log.Level).To(Equal("info"))
+		Expect(s.Limits.Connections).To(Equal(6000))
+		Expect(s.Routing.QueueWait).To(Equal(5 * time.Second))
+	})
+
+	// Guards against settings that are silently ignored or out of range.
+	DescribeTable("refuses with the path of the field", func(extra, path string) {
+		_, err := settings.Parse(withExtra(extra))
+		Expect(err).To(MatchError(ContainSubstring(path)))
+	},
+		Entry("unknown", `, "hosts": 1`, "hosts: unknown field"),
+		Entry("unknown nested", `, "log": {"levl": "info"}`, "log.levl: unknown field"),
+		Entry("option", `, "log": {"level": "loud"}`, "log.level"),
+		Entry("range", `, "limits": {"connections": 0}`, "limits.connections"),
+		Entry("duration range", `, "drain": {"timeout": "1ms"}`, "drain.timeout"),
+		Entry("address", `, "peers": {"seeds": ["localhost:1"]}`, "peers.seeds[0]"),
+		Entry("half of TLS", `, "tls": {"key_file": "k"}`, "tls: "),
+	)
+})
+
+func FuzzParse(f *testing.F) {
+	f.Add(withExtra(""))
+	f.Add([]byte(`{"listen": []}`))
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		_, _ = settings.Parse(content)
+	})
+}
