--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -139,62 +139,79 @@
 	return s, nil
 }
 
-func (s *Settings) check() error {
-	var errs []error
-	fail := func(path, format string, args ...any) {
-		errs = append(errs, fmt.Errorf("%s: %s", path, fmt.Sprintf(format, args...)))
+// problems collects errors with the path of the field.
+type problems []error
+
+func (p *problems) add(path, format string, args ...any) {
+	*p = append(*p, fmt.Errorf("%s: %s", path, fmt.Sprintf(format, args...)))
+}
+
+func (p *problems) address(path, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		p.add(path, "%q is not an IP address with a port", value)
 	}
+}
+
+func (s *Settings) check() error {
+	var p problems
 	if s.Host == "" {
-		fail("host", "must not be empty")
+		p.add("host", "must not be empty")
 	}
 	if !slices.Contains(s.FailureDomains, s.FailureDomain) {
-		fail("failure_domain", "%q is not listed in failure_domains", s.FailureDomain)
+		p.add("failure_domain", "%q is not listed in failure_domains", s.FailureDomain)
 	}
-	address := func(path, value string) {
-		if _, err := netip.ParseAddrPort(value); err != nil {
-			fail(path, "%q is not an IP address with a port", value)
-		}
+	s.checkAddresses(&p)
+	s.checkBackend(&p)
+	s.checkRanges(&p)
+	if (s.TLS.CertificateFile == "") != (s.TLS.KeyFile == "") {
+		p.add("tls", "certificate_file and key_file must be set together")
 	}
-	address("listen.callers", s.Listen.Callers)
-	address("listen.peers", s.Listen.Peers)
-	address("listen.admin", s.Listen.Admin)
+	return errors.Join(p...)
+}
+
+func (s *Settings) checkAddresses(p *problems) {
+	p.address("listen.callers", s.Listen.Callers)
+	p.address("listen.peers", s.Listen.Peers)
+	p.address("listen.admin", s.Listen.Admin)
 	if len(s.Platform.Endpoints) == 0 {
-		fail("platform.endpoints", "must name at least one address")
+		p.add("platform.endpoints", "must name at least one address")
 	}
 	for i, endpoint := range s.Platform.Endpoints {
-		address(fmt.Sprintf("platform.endpoints[%d]", i), endpoint)
+		p.address(fmt.Sprintf("platform.endpoints[%d]", i), endpoint)
 	}
 	for i, seed := range s.Peers.Seeds {
-		address(fmt.Sprintf("peers.seeds[%d]", i), seed)
+		p.address(fmt.Sprintf("peers.seeds[%d]", i), seed)
 	}
+}
+
+func (s *Settings) checkBackend(p *problems) {
 	if s.Backend.User == "" {
-		fail("backend.user", "must not be empty")
+		p.add("backend.user", "must not be empty")
 	}
 	if s.Backend.Password != "" && s.Backend.PasswordFile != "" {
-		fail("backend.password_file", "excludes backend.password")
+		p.add("backend.password_file", "excludes backend.password")
 	}
 	if source := s.Backend.SourceAddress; source != "" {
 		if _, err := netip.ParseAddr(source); err != nil {
-			fail("backend.source_address", "%q is not an IP address", source)
+			p.add("backend.source_address", "%q is not an IP address", source)
 		}
 	}
+}
+
+func (s *Settings) checkRanges(p *problems) {
 	for _, n := range s.numbers() {
 		if n.value < n.min || n.value > n.max {
-			fail(n.path, "%d is not between %d and %d", n.value, n.min, n.max)
+			p.add(n.path, "%d is not between %d and %d", n.value, n.min, n.max)
 		}
 	}
 	for _, c := range s.choices() {
 		if !slices.Contains(c.allowed, c.value) {
-			fail(c.path, "%q is not one of %s", c.value, strings.Join(c.allowed, ", "))
+			p.add(c.path, "%q is not one of %s", c.value, strings.Join(c.allowed, ", "))
 		}
 	}
 	for _, d := range s.durations() {
 		if d.value < d.min || d.value > d.max {
-			fail(d.path, "%s is not between %s and %s", d.value, d.min, d.max)
+			p.add(d.path, "%s is not between %s and %s", d.value, d.min, d.max)
 		}
 	}
-	if (s.TLS.CertificateFile == "") != (s.TLS.KeyFile == "") {
-		fail("tls", "certificate_file and key_file must be set together")
-	}
-	return errors.Join(errs...)
 }
