--- /dev/null
+++ b/internal/backend/standin/errors.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"modernc.org/sqlite"
+
+	"github.com/bramleylever/bramleylever/internal/backend"
+)
+
+// SQLSTATEs that the stand-in answers in addition to those in package backend.
+const (
+	stateProtocolViolation   = "08P01"
+	stateFeatureNotSupported = "0A000"
+	stateInvalidText         = "22P02"
+	stateInvalidParameter    = "22023"
+	stateActiveTransaction   = "25001"
+	stateNoTransaction       = "25P01"
+	stateFailedTransaction   = "25P02"
+	stateInvalidStatement    = "26000"
+	stateInvalidPassword     = "28P01"
+	stateInvalidCursor       = "34000"
+	stateSyntax              = "42601"
+	stateUndefinedObject     = "42704"
+	stateQueryCanceled       = "57014"
+	stateAdminShutdown       = "57P01"
+	stateInternal            = "XX000"
+)
+
+// stateError is an error with its SQLSTATE.
+type stateError struct {
+	code    string
+	message string
+	fatal   bool
+}
+
+func (e *stateError) Error() string { return e.message + " (SQLSTATE " + e.code + ")" }
+
+func (e *stateError) response() *pgproto3.ErrorResponse {
+	severity := "ERROR"
+	if e.fatal {
+		severity = "FATAL"
+	}
+	return &pgproto3.ErrorResponse{
+		Severity: severity, SeverityUnlocalized: severity, Code: e.code, Message: e.message,
+	}
+}
+
+func failf(code, format string, args ...any) error {
+	return &stateError{code: code, message: fmt.Sprintf(format, args...)}
+}
+
+func fatalf(code, format string, args ...any) error {
+	return &stateError{code: code, message: fmt.Sprintf(format, args...), fatal: true}
+}
+
+func syntaxError(message string) error { return failf(stateSyntax, "%s", message) }
+
+func readOnlyError(what string) error {
+	return failf(backend.SQLStateReadOnly, "cannot execute %s in a read-only transaction", what)
+}
+
+// asStateError returns err with an SQLSTATE; SQLite's errors get the one that
+// PostgreSQL answers in the same case.
+func asStateError(err error) *stateError {
+	var state *stateError
+	if errors.As(err, &state) {
+		return state
+	}
+	var lite *sqlite.Error
+	if errors.As(err, &lite) {
+		return &stateError{code: sqliteState(lite), message: lite.Error()}
+	}
+	return &stateError{code: stateInternal, message: err.Error()}
+}
+
+// sqliteStates maps fragments of SQLite's messages; SQLite reports most
+// failures to prepare under one result code.
+var sqliteStates = []struct{ fragment, code string }{
+	{"UNIQUE constraint failed", "23505"},
+	{"NOT NULL constraint failed", "23502"},
+	{"FOREIGN KEY constraint failed", "23503"},
+	{"CHECK constraint failed", "23514"},
+	{"no such table", "42P01"},
+	{"no such column", "42703"},
+	{"has no column named", "42703"},
+	{"no such function", "42883"},
+	{"no such savepoint", "3B001"},
+	{"already exists", "42P07"},
+	{"syntax error", stateSyntax},
+	{"incomplete input", stateSyntax},
+	{"datatype mismatch", stateInvalidText},
+	{"integer overflow", "22003"},
+}
+
+func sqliteState(err *sqlite.Error) string {
+	for _, s := range sqliteStates {
+		if strings.Contains(err.Error(), s.fragment) {
+			return s.code
+		}
+	}
+	return stateInternal
+}
--- /dev/null
+++ b/internal/backend/standin/faults.go
@@ -0,0 +1,232 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Duration is a time.Duration whose JSON form is text such as "10ms".
+type Duration time.Duration
+
+// MarshalText writes the form of time.Duration.String.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText reads a duration that is not negative.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	if parsed < 0 {
+		return fmt.Errorf("duration %q is negative", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// Settings are the properties of an instance that can be changed while it
+// runs, faults included. The JSON form is that of the fault address.
+type Settings struct {
+	// Frozen makes the instance accept connections and answer nothing, as a
+	// stopped process does. It continues where it was when it is thawed.
+	Frozen bool `json:"frozen"`
+	// Cut lists address prefixes; connections from and to them neither
+	// receive nor send until they are healed.
+	Cut []netip.Prefix `json:"cut"`
+	// Lag is the time from receiving to applying a log entry.
+	Lag Duration `json:"lag"`
+	// ReceiveDelay is the one-way delay from the primary.
+	ReceiveDelay Duration `json:"receive_delay"`
+	// ConnectionCost is the time before authentication completes.
+	ConnectionCost Duration `json:"connection_cost"`
+	// ServiceTime is how long each data statement occupies its slot.
+	ServiceTime Duration `json:"service_time"`
+	// Slots is the number of data statements that run at once; 0 is unlimited.
+	Slots int `json:"slots"`
+	// ConnectionLimit is the number of data connections; 0 is unlimited.
+	ConnectionLimit int `json:"connection_limit"`
+}
+
+func (s Settings) validate() error {
+	if s.Slots < 0 {
+		return fmt.Errorf("slots: %d is negative", s.Slots)
+	}
+	if s.ConnectionLimit < 0 {
+		return fmt.Errorf("connection_limit: %d is negative", s.ConnectionLimit)
+	}
+	for _, d := range []Duration{s.Lag, s.ReceiveDelay, s.ConnectionCost, s.ServiceTime} {
+		if d < 0 {
+			return fmt.Errorf("duration %s is negative", time.Duration(d))
+		}
+	}
+	return nil
+}
+
+// switches holds the current settings and blocks traffic that they stop.
+type switches struct {
+	current atomic.Pointer[Settings]
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+func newSwitches(s Settings) *switches {
+	w := &switches{changed: make(chan struct{})}
+	w.current.Store(&s)
+	return w
+}
+
+func (w *switches) get() *Settings { return w.current.Load() }
+
+func (w *switches) update(change func(*Settings)) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next := *w.current.Load()
+	next.Cut = slices.Clone(next.Cut)
+	change(&next)
+	if err := next.validate(); err != nil {
+		return err
+	}
+	w.current.Store(&next)
+	close(w.changed)
+	w.changed = make(chan struct{})
+	return nil
+}
+
+// wakeup returns a channel that is closed at the next change.
+func (w *switches) wakeup() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.changed
+}
+
+// stopped reports whether traffic with peer is held back. The zero address
+// stands for work without a peer, which only a freeze stops.
+func (s *Settings) stopped(peer netip.Addr) bool {
+	if s.Frozen {
+		return true
+	}
+	return peer.IsValid() && slices.ContainsFunc(s.Cut, func(p netip.Prefix) bool { return p.Contains(peer) })
+}
+
+// pass waits while traffic with peer is held back.
+func (w *switches) pass(ctx context.Context, peer netip.Addr) error {
+	for {
+		if !w.get().stopped(peer) {
+			return ctx.Err()
+		}
+		wake := w.wakeup()
+		if !w.get().stopped(peer) {
+			return ctx.Err()
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// faultConn holds back the bytes of a connection while a fault stops them.
+type faultConn struct {
+	net.Conn
+	switches *switches
+	peer     netip.Addr
+	ctx      context.Context
+	cancel   context.CancelFunc
+	record   func(remote net.Addr, data []byte)
+}
+
+func newFaultConn(ctx context.Context, conn net.Conn, w *switches, record func(net.Addr, []byte)) *faultConn {
+	c := &faultConn{Conn: conn, switches: w, peer: addressOf(conn.RemoteAddr()), record: record}
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	return c
+}
+
+func addressOf(a net.Addr) netip.Addr {
+	parsed, err := netip.ParseAddrPort(a.String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return parsed.Addr().Unmap()
+}
+
+// Read returns bytes only while the connection is not held back.
+func (c *faultConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if held := c.switches.pass(c.ctx, c.peer); held != nil {
+		return 0, net.ErrClosed
+	}
+	if n > 0 && c.record != nil {
+		c.record(c.RemoteAddr(), p[:n])
+	}
+	return n, err
+}
+
+// Write sends bytes once the connection is not held back.
+func (c *faultConn) Write(p []byte) (int, error) {
+	if c.switches.pass(c.ctx, c.peer) != nil {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// Close ends the connection and whatever waits on it.
+func (c *faultConn) Close() error {
+	c.cancel()
+	return c.Conn.Close()
+}
+
+// slots limits how many statements run at once, first come, first served.
+type slots struct {
+	mu      sync.Mutex
+	running int
+	queue   []chan struct{}
+}
+
+// acquire waits for a free slot under the limit that is in force when it is
+// called; 0 is unlimited.
+func (s *slots) acquire(ctx context.Context, limit int) error {
+	s.mu.Lock()
+	if limit == 0 || s.running < limit && len(s.queue) == 0 {
+		s.running++
+		s.mu.Unlock()
+		return nil
+	}
+	turn := make(chan struct{})
+	s.queue = append(s.queue, turn)
+	s.mu.Unlock()
+	select {
+	case <-turn:
+		return nil
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.queue, turn); i >= 0 {
+		s.queue = slices.Delete(s.queue, i, i+1)
+		return ctx.Err()
+	}
+	s.releaseLocked(limit)
+	return ctx.Err()
+}
+
+func (s *slots) release(limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.releaseLocked(limit)
+}
+
+func (s *slots) releaseLocked(limit int) {
+	s.running--
+	for len(s.queue) > 0 && (limit == 0 || s.running < limit) {
+		s.running++
+		close(s.queue[0])
+		s.queue = s.queue[1:]
+	}
+}
--- /dev/null
+++ b/internal/backend/standin/instance.go
@@ -0,0 +1,359 @@
+// Package standin is a stand-in for a database instance: the PostgreSQL
+// protocol in front of in-memory SQLite, with the cluster functions,
+// replication and settable faults that the design page states.
+//
+// Two SQLite databases keep uncommitted changes apart from reads: write
+// transactions run one at a time on the writer's database, and committed
+// statements are replayed on the database that serves reads. Replicas replay
+// the same log. Isolation is READ COMMITTED.
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/backend"
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+const (
+	// DefaultUser is the service user of data connections.
+	DefaultUser = "bramleylever"
+	// ReplicationUser is the role of replication connections.
+	ReplicationUser = "replicator"
+	// ControlSlots is the number of control connections, which don't count
+	// towards the connection limit.
+	ControlSlots = 8
+
+	defaultAskInterval = 20 * time.Millisecond
+	defaultRecorded    = 10_000
+)
+
+// Config describes an instance. The zero value is usable.
+type Config struct {
+	// Name identifies the instance in its group; the default is its address.
+	Name string
+	// GroupSize is the number of instances of which a majority confirms; the
+	// default is 1.
+	GroupSize int
+	// User is the service user of data connections, by default DefaultUser.
+	User string
+	// Password is the password of User, backend.ControlUser and
+	// ReplicationUser; if empty, every password is accepted.
+	Password string
+	// Settings are the initial settings.
+	Settings Settings
+	// AskInterval is how often a replica asks the primary for its position;
+	// the default is 20 ms.
+	AskInterval time.Duration
+	// RecordLimit is how many of the last statements Executed returns; the
+	// default is 10,000, and a negative value records none.
+	RecordLimit int
+	// OnReceive, if set, is called with all bytes that arrive. It must not
+	// keep data and is called concurrently.
+	OnReceive func(remote net.Addr, data []byte)
+	// Logger defaults to none.
+	Logger *zap.Logger
+}
+
+// Instance is one database instance. It keeps its log, term and role when it
+// is closed and started again, as a server with a disk does.
+type Instance struct {
+	cfg      Config
+	log      *zap.Logger
+	switches *switches
+	slots    slots
+	recorder recorder
+	parsed   statementCache
+
+	applyMu sync.Mutex // held while log entries are applied or dropped
+
+	mu       sync.Mutex
+	changed  chan struct{} // closed and replaced when the state below changes
+	state    state
+	db       *database // serves reads; holds the entries up to state.applied
+	writer   *writer   // primaries only
+	follower *follower // replicas only
+
+	connMu   sync.Mutex
+	listener net.Listener
+	sessions map[uint32]*session
+	counts   map[connectionClass]int
+	nextPID  uint32
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+
+	replica atomic.Bool
+}
+
+// New returns an instance that is not started. It is fenced in term 0.0 and
+// has an empty log.
+func New(cfg Config) *Instance {
+	if cfg.GroupSize == 0 {
+		cfg.GroupSize = 1
+	}
+	if cfg.User == "" {
+		cfg.User = DefaultUser
+	}
+	if cfg.AskInterval == 0 {
+		cfg.AskInterval = defaultAskInterval
+	}
+	if cfg.RecordLimit == 0 {
+		cfg.RecordLimit = defaultRecorded
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = zap.NewNop()
+	}
+	i := &Instance{
+		cfg:      cfg,
+		log:      cfg.Logger,
+		switches: newSwitches(cfg.Settings),
+		changed:  make(chan struct{}),
+		sessions: map[uint32]*session{},
+		counts:   map[connectionClass]int{},
+	}
+	i.recorder.limit = cfg.RecordLimit
+	i.state.role = backend.RoleFenced
+	i.replica.Store(true)
+	return i
+}
+
+// Start listens on addr, for example "127.0.0.1:0". After Close it continues
+// with the log and the role that it had.
+func (i *Instance) Start(addr string) error {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("start instance %s: %w", i.cfg.Name, err)
+	}
+	if err := i.open(listener); err != nil {
+		_ = listener.Close()
+		return fmt.Errorf("start instance %s: %w", i.cfg.Name, err)
+	}
+	i.wg.Add(2)
+	go i.accept(listener)
+	go i.applyLoop()
+	i.resume()
+	return nil
+}
+
+func (i *Instance) open(listener net.Listener) error {
+	i.connMu.Lock()
+	defer i.connMu.Unlock()
+	if i.listener != nil {
+		return errors.New("already started")
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.db == nil {
+		db, err := openDatabase(nil, i.replica.Load)
+		if err != nil {
+			return err
+		}
+		i.db = db
+	}
+	i.listener = listener
+	i.ctx, i.cancel = context.WithCancel(context.Background())
+	if i.cfg.Name == "" {
+		i.cfg.Name = listener.Addr().String()
+	}
+	i.log = i.cfg.Logger.With(zap.String(logging.FieldInstance, i.cfg.Name))
+	return nil
+}
+
+// resume continues in the role that the instance had when it was closed.
+func (i *Instance) resume() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	switch i.state.role {
+	case backend.RolePrimary:
+		if err := i.openWriterLocked(); err != nil {
+			i.log.Error("no writer after restart", zap.Error(err))
+			i.setRoleLocked(backend.RoleFenced)
+		}
+	case backend.RoleReplica:
+		i.startFollowerLocked()
+	}
+}
+
+// Name returns the configured name, or the address if there is none.
+func (i *Instance) Name() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.cfg.Name
+}
+
+// Address returns host and port of the listener, empty if not started.
+func (i *Instance) Address() string {
+	i.connMu.Lock()
+	defer i.connMu.Unlock()
+	if i.listener == nil {
+		return ""
+	}
+	return i.listener.Addr().String()
+}
+
+// Close ends the instance at once, as a kill does: connections are reset
+// and open transactions are lost.
+func (i *Instance) Close() error {
+	i.connMu.Lock()
+	listener := i.listener
+	i.listener = nil
+	if listener == nil {
+		i.connMu.Unlock()
+		return nil
+	}
+	i.cancel()
+	for _, s := range i.sessions {
+		s.conn.kill()
+	}
+	i.connMu.Unlock()
+	err := listener.Close()
+	i.mu.Lock()
+	i.stopFollowerLocked()
+	i.closeWriterLocked()
+	i.mu.Unlock()
+	i.wg.Wait()
+	return err
+}
+
+// Discard closes the instance and frees its data. It can't be started again.
+func (i *Instance) Discard() {
+	_ = i.Close()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.db != nil {
+		i.db.close()
+	}
+}
+
+// Settings returns the current settings.
+func (i *Instance) Settings() Settings { return *i.switches.get() }
+
+// Update changes the settings. It returns an error and changes nothing if the
+// result is not valid.
+func (i *Instance) Update(change func(*Settings)) error { return i.switches.update(change) }
+
+func (i *Instance) accept(listener net.Listener) {
+	defer i.wg.Done()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		s, ok := i.newSession(conn)
+		if !ok {
+			_ = conn.Close()
+			return
+		}
+		go func() {
+			defer i.wg.Done()
+			s.serve()
+		}()
+	}
+}
+
+// newSession registers a connection, so that Close ends it; it fails after
+// Close.
+func (i *Instance) newSession(conn net.Conn) (*session, bool) {
+	i.connMu.Lock()
+	defer i.connMu.Unlock()
+	if i.listener == nil {
+		return nil, false
+	}
+	i.wg.Add(1)
+	i.nextPID++
+	s := newSession(i, newFaultConn(i.ctx, conn, i.switches, i.cfg.OnReceive), i.nextPID)
+	i.sessions[s.pid] = s
+	return s, true
+}
+
+// connectionClass separates the connection limits.
+type connectionClass uint8
+
+const (
+	classNone connectionClass = iota
+	classData
+	classControl
+	classReplication
+)
+
+// admit counts a connection against the limit of its class.
+func (i *Instance) admit(s *session, class connectionClass) error {
+	limit := 0
+	switch class {
+	case classData:
+		limit = i.switches.get().ConnectionLimit
+	case classControl:
+		limit = ControlSlots
+	}
+	i.connMu.Lock()
+	defer i.connMu.Unlock()
+	if limit > 0 && i.counts[class] >= limit {
+		return fatalf(backend.SQLStateTooManyConnections, "sorry, too many clients already: limit %d", limit)
+	}
+	i.counts[class]++
+	s.class = class
+	return nil
+}
+
+func (i *Instance) remove(s *session) {
+	i.connMu.Lock()
+	defer i.connMu.Unlock()
+	delete(i.sessions, s.pid)
+	if s.class != classNone {
+		i.counts[s.class]--
+	}
+}
+
+// closeDataConnections ends the data connections, because an applied position
+// that was learned on them is no longer a lower bound.
+func (i *Instance) closeDataConnections() {
+	i.connMu.Lock()
+	defer i.connMu.Unlock()
+	for _, s := range i.sessions {
+		if s.class == classData {
+			s.conn.kill()
+		}
+	}
+}
+
+// cancelStatement serves a cancel request; a wrong key is ignored.
+func (i *Instance) cancelStatement(pid, key uint32) {
+	i.connMu.Lock()
+	s := i.sessions[pid]
+	i.connMu.Unlock()
+	if s != nil && s.key == key {
+		s.cancelStatement()
+	}
+}
+
+// Status returns what cluster_status answers.
+func (i *Instance) Status() backend.Status {
+	i.connMu.Lock()
+	connections := i.counts[classData]
+	i.connMu.Unlock()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	st := &i.state
+	return backend.Status{
+		Instance:        i.cfg.Name,
+		Role:            st.role,
+		Term:            st.term,
+		LastLogTerm:     st.lastTerm(),
+		Received:        st.end(),
+		Applied:         st.applied,
+		Confirmed:       st.confirmed,
+		History:         append(position.History{}, st.history...),
+		Connections:     connections,
+		ConnectionLimit: i.switches.get().ConnectionLimit,
+	}
+}
--- /dev/null
+++ b/internal/backend/standin/majority.go
@@ -0,0 +1,108 @@
+package standin
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bramleylever/bramleylever/internal/backend"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// majorityOf returns the highest value that a majority of the group has
+// reached, counting own as this instance's.
+func majorityOf(groupSize int, own uint64, others []uint64) uint64 {
+	values := append(slices.Clone(others), own)
+	slices.Sort(values)
+	slices.Reverse(values)
+	majority := groupSize/2 + 1
+	if len(values) < majority {
+		return 0
+	}
+	return values[majority-1]
+}
+
+// updateConfirmedLocked recomputes the confirmed position and ping. A
+// position counts only once a majority received an entry of the present term.
+func (i *Instance) updateConfirmedLocked() {
+	st := &i.state
+	received := make([]uint64, 0, len(st.peers))
+	pings := make([]uint64, 0, len(st.peers))
+	for _, p := range st.peers {
+		received = append(received, uint64(p.received))
+		pings = append(pings, p.ping)
+	}
+	confirmed := position.LSN(majorityOf(i.cfg.GroupSize, uint64(st.end()), received))
+	if confirmed >= st.termStart && confirmed > st.confirmed {
+		st.confirmed = confirmed
+	}
+	st.pingConfirmed = max(st.pingConfirmed, majorityOf(i.cfg.GroupSize, st.pingSequence, pings))
+}
+
+// acknowledge records what a replica has received in the term. It returns
+// false if the term is over.
+func (i *Instance) acknowledge(term position.Term, instance string, received position.LSN, ping uint64) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	st := &i.state
+	if st.role != backend.RolePrimary || st.term != term || received > st.end() {
+		return false
+	}
+	p := st.peers[instance]
+	if p == nil {
+		p = &peerProgress{}
+		st.peers[instance] = p
+	}
+	p.received = max(p.received, received)
+	p.ping = max(p.ping, ping)
+	confirmed, pinged := st.confirmed, st.pingConfirmed
+	i.updateConfirmedLocked()
+	if st.confirmed != confirmed || st.pingConfirmed != pinged {
+		i.broadcastLocked()
+	}
+	return true
+}
+
+// beginPingLocked asks all replicas to acknowledge the term; the returned
+// number is confirmed once a majority has.
+func (i *Instance) beginPingLocked() uint64 {
+	i.state.pingSequence++
+	i.updateConfirmedLocked()
+	i.broadcastLocked()
+	return i.state.pingSequence
+}
+
+// freshness says that data up to lsn contains everything that was committed
+// before asOf.
+type freshness struct {
+	asOf time.Time
+	lsn  position.LSN
+}
+
+// maxSamples bounds the samples that wait for their position to be applied;
+// at the usual interval they cover 20 s of lag.
+const maxSamples = 1000
+
+// addFreshnessLocked records the primary's answer to a question sent at asked.
+func (i *Instance) addFreshnessLocked(asked time.Time, lsn position.LSN) {
+	st := &i.state
+	if len(st.samples) < maxSamples {
+		st.samples = append(st.samples, freshness{asked, lsn})
+	}
+	i.updateFreshnessLocked()
+}
+
+// updateFreshnessLocked uses the samples whose position has been applied.
+func (i *Instance) updateFreshnessLocked() {
+	st := &i.state
+	n := 0
+	for n < len(st.samples) && st.samples[n].lsn <= st.applied {
+		if st.samples[n].asOf.After(st.freshAsOf) {
+			st.freshAsOf = st.samples[n].asOf
+		}
+		n++
+	}
+	if n > 0 {
+		st.samples = slices.Delete(st.samples, 0, n)
+		i.broadcastLocked()
+	}
+}
--- /dev/null
+++ b/internal/backend/standin/primarystream.go
@@ -0,0 +1,220 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/bramleylever/bramleylever/internal/backend"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// question is a replica's question for the position. It is answered once a
+// majority acknowledged the term after the question came, so that the answer
+// of a primary that was replaced is never taken as current.
+type question struct {
+	id   uint64
+	lsn  position.LSN
+	ping uint64
+}
+
+// primaryStream sends the log to one replica.
+type primaryStream struct {
+	s        *session
+	term     position.Term
+	instance string
+	sent     position.LSN
+	ping     uint64
+	asked    []question // guarded by Instance.mu
+}
+
+// serveReplication runs a replication connection of the primary.
+func (s *session) serveReplication() error {
+	request, err := s.readStartReplication()
+	if err != nil {
+		return err
+	}
+	i := s.inst
+	i.mu.Lock()
+	st := &i.state
+	ours := hello{Instance: i.cfg.Name, Term: st.term, End: st.end(), History: st.history}
+	primary := st.role == backend.RolePrimary
+	i.mu.Unlock()
+	if !primary || request.Term != ours.Term {
+		return fatalf(backend.SQLStateNotInPrerequisiteState,
+			"stale term: replication in term %s, but the instance is in term %s, primary: %t", request.Term, ours.Term, primary)
+	}
+	body, err := json.Marshal(ours)
+	if err != nil {
+		return err
+	}
+	s.backend.Send(&pgproto3.CopyBothResponse{})
+	s.backend.Send(&pgproto3.CopyData{Data: append([]byte{messageHello}, body...)})
+	if err := s.backend.Flush(); err != nil {
+		return err
+	}
+	p := &primaryStream{s: s, term: ours.Term, instance: request.Instance}
+	if p.sent, err = p.readStart(ours.End); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.receiveAll()
+	}()
+	err = p.sendAll()
+	_ = s.conn.Close()
+	<-done
+	return err
+}
+
+func (s *session) readStartReplication() (startReplication, error) {
+	var request startReplication
+	msg, err := s.backend.Receive()
+	if err != nil {
+		return request, err
+	}
+	query, ok := msg.(*pgproto3.Query)
+	if !ok || !strings.HasPrefix(query.String, startReplicationCommand) {
+		return request, fatalf(stateProtocolViolation, "expected START_REPLICATION")
+	}
+	body := strings.TrimPrefix(query.String, startReplicationCommand)
+	if err := json.Unmarshal([]byte(body), &request); err != nil || request.Instance == "" {
+		return request, fatalf(stateSyntax, "START_REPLICATION: malformed request")
+	}
+	return request, nil
+}
+
+// receive returns the kind and the body of the next stream message.
+func (p *primaryStream) receive() (byte, []byte, error) {
+	msg, err := p.s.backend.Receive()
+	if err != nil {
+		return 0, nil, err
+	}
+	data, ok := msg.(*pgproto3.CopyData)
+	if !ok || len(data.Data) == 0 {
+		return 0, nil, fatalf(stateProtocolViolation, "replication: unexpected message %T", msg)
+	}
+	return data.Data[0], data.Data[1:], nil
+}
+
+func (p *primaryStream) readStart(end position.LSN) (position.LSN, error) {
+	kind, body, err := p.receive()
+	if err != nil {
+		return 0, err
+	}
+	r := &reader{data: body}
+	from := position.LSN(r.number())
+	if kind != messageStart || r.end() != nil || from > end {
+		return 0, fatalf(stateProtocolViolation, "replication: malformed start")
+	}
+	return from, nil
+}
+
+// receiveAll handles the replica's messages until the connection ends.
+func (p *primaryStream) receiveAll() {
+	for {
+		kind, body, err := p.receive()
+		if err != nil {
+			break
+		}
+		r := &reader{data: body}
+		ok := false
+		switch kind {
+		case messageAck:
+			received, ping := position.LSN(r.number()), r.number()
+			ok = r.end() == nil && p.s.inst.acknowledge(p.term, p.instance, received, ping)
+		case messageAsk:
+			id := r.number()
+			ok = r.end() == nil && p.ask(id)
+		}
+		if !ok {
+			break
+		}
+	}
+	_ = p.s.conn.Close()
+}
+
+// maxQuestions bounds the questions of one replica that wait for a majority.
+const maxQuestions = 100
+
+func (p *primaryStream) ask(id uint64) bool {
+	i := p.s.inst
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.state.role != backend.RolePrimary || i.state.term != p.term {
+		return false
+	}
+	if len(p.asked) >= maxQuestions {
+		p.asked = p.asked[1:]
+	}
+	// The end of the log is read before the ping begins: a majority that
+	// confirms the term afterwards had no newer primary at that time.
+	lsn := i.state.end()
+	p.asked = append(p.asked, question{id: id, lsn: lsn, ping: i.beginPingLocked()})
+	return true
+}
+
+// batchEntries bounds the entries that are encoded at once.
+const batchEntries = 256
+
+// sendAll sends entries, pings and answers until the term ends.
+func (p *primaryStream) sendAll() error {
+	for {
+		var entries []entry
+		var answers []question
+		var ping uint64
+		err := p.s.inst.await(p.s.ctx, func() (bool, error) {
+			var err error
+			entries, answers, ping, err = p.pending()
+			return len(entries)+len(answers) > 0 || ping > p.ping, err
+		})
+		if err != nil {
+			if errors.Is(err, errTermOver) {
+				return fatalf(backend.SQLStateNotInPrerequisiteState, "stale term: %s is over", p.term)
+			}
+			return nil
+		}
+		if err := p.send(entries, answers, ping); err != nil {
+			return err
+		}
+	}
+}
+
+// pending takes what is to be sent; it runs with the state locked.
+func (p *primaryStream) pending() ([]entry, []question, uint64, error) {
+	st := &p.s.inst.state
+	if st.role != backend.RolePrimary || st.term != p.term {
+		return nil, nil, 0, errTermOver
+	}
+	last := min(int(p.sent)+batchEntries, len(st.entries))
+	entries := append([]entry(nil), st.entries[p.sent:last]...)
+	n := 0
+	for n < len(p.asked) && p.asked[n].ping <= st.pingConfirmed {
+		n++
+	}
+	answers := append([]question(nil), p.asked[:n]...)
+	p.asked = p.asked[n:]
+	return entries, answers, st.pingSequence, nil
+}
+
+func (p *primaryStream) send(entries []entry, answers []question, ping uint64) error {
+	for _, e := range entries {
+		data, err := appendEntry(nil, e)
+		if err != nil {
+			return err
+		}
+		p.s.backend.Send(&pgproto3.CopyData{Data: data})
+		p.sent = e.lsn
+	}
+	for _, a := range answers {
+		p.s.backend.Send(&pgproto3.CopyData{Data: appendNumbers(messageAnswer, a.id, uint64(a.lsn))})
+	}
+	if ping > p.ping {
+		p.ping = ping
+		p.s.backend.Send(&pgproto3.CopyData{Data: appendNumbers(messagePing, ping)})
+	}
+	return p.s.backend.Flush()
+}
--- /dev/null
+++ b/internal/backend/standin/session.go
@@ -0,0 +1,355 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/bramleylever/bramleylever/internal/backend"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// noPeer stands for work that only a freeze holds back.
+var noPeer netip.Addr
+
+// maxMessageBytes bounds one message of a client.
+const maxMessageBytes = 64 << 20
+
+// flushBytes is the size of buffered rows at which they are sent; it bounds
+// the memory that a large result takes twice.
+const flushBytes = 64 << 10
+
+// session is one connection.
+type session struct {
+	inst    *Instance
+	conn    *faultConn
+	backend *pgproto3.Backend
+	pid     uint32
+	key     uint32
+	user    string
+	class   connectionClass
+	ctx     context.Context
+
+	tx         transaction
+	statements map[string]*prepared
+	portals    map[string]*portal
+	skipToSync bool
+	buffered   int
+
+	parameters map[string]string // SET values
+	defaults   map[string]string // values of the start-up message
+	reported   map[string]string // values of ParameterStatus as last sent
+
+	lastCommit   position.Position
+	sentApplied  position.LSN
+	commitReport position.Position // sent before the next ReadyForQuery
+
+	cancelMu sync.Mutex
+	cancel   context.CancelFunc // of the running statement
+}
+
+func newSession(i *Instance, conn *faultConn, pid uint32) *session {
+	s := &session{
+		inst:       i,
+		conn:       conn,
+		backend:    pgproto3.NewBackend(conn, conn),
+		pid:        pid,
+		key:        rand.Uint32(),
+		ctx:        conn.ctx,
+		statements: map[string]*prepared{},
+		portals:    map[string]*portal{},
+		parameters: map[string]string{},
+		defaults:   map[string]string{},
+		reported:   map[string]string{},
+	}
+	s.backend.SetMaxBodyLen(maxMessageBytes)
+	return s
+}
+
+// kill resets the connection.
+func (c *faultConn) kill() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (s *session) serve() {
+	defer s.end()
+	startup, err := s.startup()
+	if err != nil || startup == nil {
+		s.fail(err)
+		return
+	}
+	if s.class == classReplication {
+		s.fail(s.serveReplication())
+		return
+	}
+	s.fail(s.loop())
+}
+
+// fail reports the error that ends the session, if it is the client's.
+func (s *session) fail(err error) {
+	var state *stateError
+	if !errors.As(err, &state) {
+		return
+	}
+	s.backend.Send(state.response())
+	_ = s.backend.Flush()
+}
+
+func (s *session) end() {
+	s.rollback()
+	s.inst.remove(s)
+	_ = s.conn.Close()
+}
+
+// startup serves the messages before the first query. It returns nil without
+// an error after a cancel request.
+func (s *session) startup() (*pgproto3.StartupMessage, error) {
+	for {
+		msg, err := s.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := s.conn.Write([]byte{'N'}); err != nil {
+				return nil, err
+			}
+		case *pgproto3.CancelRequest:
+			s.inst.cancelStatement(m.ProcessID, m.SecretKey)
+			return nil, nil
+		case *pgproto3.StartupMessage:
+			return m, s.authenticate(m)
+		default:
+			return nil, fatalf(stateProtocolViolation, "unexpected start-up message %T", msg)
+		}
+	}
+}
+
+func (s *session) authenticate(m *pgproto3.StartupMessage) error {
+	s.user = m.Parameters["user"]
+	class := classData
+	switch s.user {
+	case backend.ControlUser:
+		class = classControl
+	case ReplicationUser:
+		class = classReplication
+	}
+	if err := s.inst.admit(s, class); err != nil {
+		return err
+	}
+	if err := s.checkPassword(); err != nil {
+		return err
+	}
+	if err := s.sleep(s.ctx, time.Duration(s.inst.switches.get().ConnectionCost)); err != nil {
+		return err
+	}
+	s.backend.Send(&pgproto3.AuthenticationOk{})
+	s.readOptions(m.Parameters)
+	for _, name := range reportedParameters {
+		s.report(name, s.parameter(name))
+	}
+	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.key})
+	return s.ready()
+}
+
+func (s *session) checkPassword() error {
+	cfg := &s.inst.cfg
+	known := s.user == cfg.User || s.class != classData
+	if cfg.Password == "" && known {
+		return nil
+	}
+	s.backend.Send(&pgproto3.AuthenticationCleartextPassword{})
+	if err := s.backend.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
+		return err
+	}
+	if err := s.backend.Flush(); err != nil {
+		return err
+	}
+	msg, err := s.backend.Receive()
+	if err != nil {
+		return err
+	}
+	password, ok := msg.(*pgproto3.PasswordMessage)
+	if !ok {
+		return fatalf(stateProtocolViolation, "expected a password message, got %T", msg)
+	}
+	if !known || password.Password != cfg.Password {
+		return fatalf(stateInvalidPassword, "password authentication failed for user %q", s.user)
+	}
+	return nil
+}
+
+// readOptions takes session parameters from the start-up message.
+func (s *session) readOptions(in map[string]string) {
+	for name, value := range in {
+		switch name {
+		case "user", "database", "replication":
+		case "options":
+			for _, part := range strings.Fields(value) {
+				part = strings.TrimPrefix(strings.TrimPrefix(part, "-c"), "--")
+				if name, value, ok := strings.Cut(part, "="); ok {
+					s.defaults[strings.ToLower(name)] = value
+				}
+			}
+		default:
+			s.defaults[strings.ToLower(name)] = value
+		}
+	}
+	maps.Copy(s.parameters, s.defaults)
+}
+
+// loop serves messages until the client leaves.
+func (s *session) loop() error {
+	for {
+		msg, err := s.backend.Receive()
+		if err != nil {
+			if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || s.ctx.Err() != nil {
+				return nil
+			}
+			return err
+		}
+		if _, ok := msg.(*pgproto3.Terminate); ok {
+			return nil
+		}
+		if err := s.handle(msg); err != nil {
+			return err
+		}
+	}
+}
+
+// handle serves one message. Errors of statements are reported to the client;
+// the returned errors end the session.
+func (s *session) handle(msg pgproto3.FrontendMessage) error {
+	switch m := msg.(type) {
+	case *pgproto3.Query:
+		return s.simpleQuery(m.String)
+	case *pgproto3.Sync:
+		s.skipToSync = false
+		s.endImplicit()
+		return s.ready()
+	case *pgproto3.Flush:
+		return s.backend.Flush()
+	}
+	if s.skipToSync {
+		return nil
+	}
+	var err error
+	switch m := msg.(type) {
+	case *pgproto3.Parse:
+		err = s.parse(m)
+	case *pgproto3.Bind:
+		err = s.bind(m)
+	case *pgproto3.Describe:
+		err = s.describe(m)
+	case *pgproto3.Execute:
+		err = s.execute(m)
+	case *pgproto3.Close:
+		s.closeObject(m)
+	default:
+		return fatalf(stateProtocolViolation, "unexpected message %T", msg)
+	}
+	if err != nil {
+		s.skipToSync = true
+		s.statementFailed(err)
+	}
+	return nil
+}
+
+// statementFailed reports an error and fails the open transaction.
+func (s *session) statementFailed(err error) {
+	s.tx.fail()
+	s.backend.Send(s.describeError(err).response())
+}
+
+func (s *session) describeError(err error) *stateError {
+	if errors.Is(err, context.Canceled) {
+		return &stateError{code: stateQueryCanceled, message: "canceling statement due to user request"}
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return &stateError{code: stateQueryCanceled, message: "canceling statement due to statement timeout"}
+	}
+	if errors.Is(err, errDatabaseClosed) {
+		return &stateError{code: stateAdminShutdown, message: "terminating connection due to administrator command", fatal: true}
+	}
+	return asStateError(err)
+}
+
+// ready ends a request: changed parameters, then ReadyForQuery.
+func (s *session) ready() error {
+	if !s.commitReport.IsZero() {
+		s.sendParameter(backend.ParameterCommitPosition, s.commitReport.String())
+		s.commitReport = position.Position{}
+	}
+	if applied := s.inst.appliedPosition(); applied.LSN != s.sentApplied {
+		s.sentApplied = applied.LSN
+		s.sendParameter(backend.ParameterAppliedPosition, applied.String())
+	}
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.tx.status()})
+	s.buffered = 0
+	return s.backend.Flush()
+}
+
+func (s *session) sendParameter(name, value string) {
+	s.backend.Send(&pgproto3.ParameterStatus{Name: name, Value: value})
+}
+
+// report sends a parameter to the client if it is new to it.
+func (s *session) report(name, value string) {
+	if s.reported[name] == value && value != "" {
+		return
+	}
+	s.reported[name] = value
+	s.sendParameter(name, value)
+}
+
+// begin starts the cancellable part of a statement.
+func (s *session) begin() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(s.ctx)
+	if limit := s.statementTimeout(); limit > 0 {
+		ctx, cancel = context.WithTimeout(s.ctx, limit)
+	}
+	s.cancelMu.Lock()
+	s.cancel = cancel
+	s.cancelMu.Unlock()
+	return ctx, func() {
+		s.cancelMu.Lock()
+		s.cancel = nil
+		s.cancelMu.Unlock()
+		cancel()
+	}
+}
+
+// cancelStatement ends the running statement with 57014.
+func (s *session) cancelStatement() {
+	s.cancelMu.Lock()
+	defer s.cancelMu.Unlock()
+	if s.cancel != nil {
+		s.cancel()
+	}
+}
+
+func (s *session) sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/backend/standin/state.go
@@ -0,0 +1,266 @@
+package standin
+
+import (
+	"context"
+	"database/sql/driver"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/backend"
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// logStatement is one statement of a committed transaction with the values
+// that make its replay deterministic.
+type logStatement struct {
+	sql    string
+	schema bool
+	args   []driver.Value
+	at     time.Time
+}
+
+// entry is one log entry: the changes of one transaction. The first entry of
+// a term has none.
+type entry struct {
+	lsn        position.LSN
+	term       position.Term
+	statements []logStatement
+	received   time.Time // on this instance's clock; the apply lag starts here
+}
+
+// state is the replicated log and the part in the group.
+type state struct {
+	role      backend.Role
+	term      position.Term
+	entries   []entry // entries[k] has LSN k+1
+	history   position.History
+	applied   position.LSN
+	primary   string // address that a replica follows
+	confirmed position.LSN
+	termStart position.LSN // primaries only: LSN of the term's first entry
+	peers     map[string]*peerProgress
+
+	pingSequence  uint64 // primaries only: last ping that was begun
+	pingConfirmed uint64 // last ping that a majority answered
+
+	quiescedUntil time.Time
+
+	// freshAsOf is the time, on this replica's clock, up to which the applied
+	// data is known to contain everything that was committed.
+	freshAsOf time.Time
+	samples   []freshness
+}
+
+// peerProgress is what a replica acknowledged in the primary's present term.
+type peerProgress struct {
+	received position.LSN
+	ping     uint64
+}
+
+func (s *state) end() position.LSN { return position.LSN(len(s.entries)) }
+
+func (s *state) lastTerm() position.Term {
+	if len(s.entries) == 0 {
+		return position.Term{}
+	}
+	return s.entries[len(s.entries)-1].term
+}
+
+// at returns the position of an entry; LSN 0 is the zero position.
+func (s *state) at(lsn position.LSN) position.Position {
+	if lsn == 0 {
+		return position.Position{}
+	}
+	return position.Position{Term: s.entries[lsn-1].term, LSN: lsn}
+}
+
+// appendEntry adds the next entry and extends the history with its term.
+func (s *state) appendEntry(e entry) {
+	if len(s.history) == 0 || s.history[len(s.history)-1].Term != e.term {
+		s.history = s.history.Append(e.term, s.end())
+	}
+	s.entries = append(s.entries, e)
+}
+
+// truncate drops the entries after lsn.
+func (s *state) truncate(lsn position.LSN) {
+	clear(s.entries[lsn:])
+	s.entries = s.entries[:lsn]
+	s.history = slices.DeleteFunc(slices.Clone(s.history), func(f position.Fork) bool { return f.Start >= lsn })
+}
+
+// broadcastLocked wakes everything that waits for a change of state.
+func (i *Instance) broadcastLocked() {
+	close(i.changed)
+	i.changed = make(chan struct{})
+}
+
+// await waits until done reports true or fails. done runs with the state
+// locked, at once and after every change.
+func (i *Instance) await(ctx context.Context, done func() (bool, error)) error {
+	for {
+		i.mu.Lock()
+		ok, err := done()
+		wake := i.changed
+		i.mu.Unlock()
+		if ok || err != nil {
+			return err
+		}
+		select {
+		case <-wake:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (i *Instance) setRoleLocked(role backend.Role) {
+	i.state.role = role
+	i.replica.Store(role != backend.RolePrimary)
+	i.log.Info("role", zap.String(logging.FieldDecision, string(role)),
+		zap.Stringer(logging.FieldTerm, i.state.term))
+	i.broadcastLocked()
+}
+
+// readDatabase returns the database that serves reads.
+func (i *Instance) readDatabase() *database {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.db
+}
+
+// appliedPosition returns the position up to which reads see the log.
+func (i *Instance) appliedPosition() position.Position {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.state.at(i.state.applied)
+}
+
+// applyLoop applies received entries after the lag. A primary applies its own
+// entries when it commits them.
+func (i *Instance) applyLoop() {
+	defer i.wg.Done()
+	for {
+		wait := i.nextApply()
+		if wait == 0 {
+			if i.switches.pass(i.ctx, noPeer) != nil {
+				return
+			}
+			i.applyNext()
+			continue
+		}
+		i.mu.Lock()
+		wake := i.changed
+		i.mu.Unlock()
+		if i.nextApply() == 0 {
+			continue
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-wake:
+		case <-i.switches.wakeup():
+		case <-timer.C:
+		case <-i.ctx.Done():
+			timer.Stop()
+			return
+		}
+		timer.Stop()
+	}
+}
+
+// idleWait bounds a sleep of the apply loop with nothing to apply.
+const idleWait = time.Second
+
+// nextApply returns the time until the next entry is due, 0 if it is now.
+func (i *Instance) nextApply() time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	st := &i.state
+	if st.applied >= st.end() || st.role == backend.RolePrimary {
+		return idleWait
+	}
+	due := st.entries[st.applied].received.Add(time.Duration(i.switches.get().Lag))
+	return max(0, time.Until(due))
+}
+
+// applyNext applies the entry after the applied position, if there is one.
+func (i *Instance) applyNext() {
+	i.applyMu.Lock()
+	defer i.applyMu.Unlock()
+	i.applyNextLocked()
+}
+
+func (i *Instance) applyNextLocked() bool {
+	i.mu.Lock()
+	st := &i.state
+	if st.applied >= st.end() {
+		i.mu.Unlock()
+		return false
+	}
+	e, db := st.entries[st.applied], i.db
+	i.mu.Unlock()
+	if err := db.apply(e.statements); err != nil {
+		// The same statements succeeded on the primary's writer, so this is a
+		// fault of the stand-in; tests find it in the log.
+		i.log.Error("apply failed", zap.Uint64("lsn", uint64(e.lsn)), zap.Error(err))
+	}
+	i.mu.Lock()
+	st.applied = e.lsn
+	i.updateFreshnessLocked()
+	i.broadcastLocked()
+	i.mu.Unlock()
+	return true
+}
+
+// applyTo applies entries up to lsn without lag.
+func (i *Instance) applyTo(lsn position.LSN) {
+	i.applyMu.Lock()
+	defer i.applyMu.Unlock()
+	for {
+		i.mu.Lock()
+		done := i.state.applied >= lsn
+		i.mu.Unlock()
+		if done || !i.applyNextLocked() {
+			return
+		}
+	}
+}
+
+// apply replays the statements of one transaction; readers see all or none.
+func (d *database) apply(statements []logStatement) error {
+	if len(statements) == 0 {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(statements) == 1 {
+		return d.replay(statements[0])
+	}
+	if _, err := d.runLocked("BEGIN", false, false, nil, d.now); err != nil {
+		return err
+	}
+	for _, st := range statements {
+		if err := d.replay(st); err != nil {
+			_, _ = d.runLocked("ROLLBACK", false, false, nil, d.now)
+			return err
+		}
+	}
+	_, err := d.runLocked("COMMIT", false, false, nil, d.now)
+	return err
+}
+
+func (d *database) replay(st logStatement) error {
+	_, err := d.runLocked(st.sql, false, st.schema, namedValues(st.args), st.at)
+	return err
+}
+
+func namedValues(args []driver.Value) []driver.NamedValue {
+	out := make([]driver.NamedValue, len(args))
+	for i, v := range args {
+		out[i] = driver.NamedValue{Ordinal: i + 1, Value: v}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/backend/standin/stream.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"database/sql/driver"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// The replication stream consists of CopyData messages whose first byte is
+// one of these. Numbers are varints.
+const (
+	// From the primary.
+	messageHello  = 'H' // hello as JSON
+	messageEntry  = 'E' // one log entry
+	messageAnswer = 'A' // id of the question, end of the log
+	messagePing   = 'P' // number of the ping
+	// From the replica.
+	messageStart = 'S' // LSN after which the log is wanted
+	messageAck   = 'K' // received LSN, last ping
+	messageAsk   = 'Q' // id of the question
+)
+
+// hello is the primary's description of its log.
+type hello struct {
+	Instance string           `json:"instance"`
+	Term     position.Term    `json:"term"`
+	End      position.LSN     `json:"end"`
+	History  position.History `json:"history"`
+}
+
+// startReplication is what a replica sends after START_REPLICATION.
+type startReplication struct {
+	Instance string        `json:"instance"`
+	Term     position.Term `json:"term"`
+}
+
+const startReplicationCommand = "START_REPLICATION "
+
+// appendNumbers writes a message that consists of numbers.
+func appendNumbers(kind byte, numbers ...uint64) []byte {
+	out := []byte{kind}
+	for _, n := range numbers {
+		out = binary.AppendUvarint(out, n)
+	}
+	return out
+}
+
+// reader decodes the body of a stream message. After a fault its methods
+// return zero values and err is set.
+type reader struct {
+	data []byte
+	err  error
+}
+
+func (r *reader) fail(what string) {
+	if r.err == nil {
+		r.err = fmt.Errorf("replication message: malformed %s", what)
+	}
+}
+
+func (r *reader) number() uint64 {
+	n, size := binary.Uvarint(r.data)
+	if size <= 0 {
+		r.fail("number")
+		return 0
+	}
+	r.data = r.data[size:]
+	return n
+}
+
+func (r *reader) bytes() []byte {
+	n := r.number()
+	if n > uint64(len(r.data)) {
+		r.fail("length")
+		return nil
+	}
+	out := r.data[:n]
+	r.data = r.data[n:]
+	return out
+}
+
+// count reads a number of items, each of which takes at least a byte.
+func (r *reader) count() int {
+	n := r.number()
+	if n > uint64(len(r.data)) {
+		r.fail("count")
+		return 0
+	}
+	return int(n)
+}
+
+func (r *reader) end() error {
+	if r.err == nil && len(r.data) > 0 {
+		r.fail("end")
+	}
+	return r.err
+}
+
+// Tags of the values in an entry.
+const (
+	valueNull = iota
+	valueInteger
+	valueFloat
+	valueText
+	valueBytes
+)
+
+func appendEntry(out []byte, e entry) ([]byte, error) {
+	out = append(out, messageEntry)
+	out = binary.AppendUvarint(out, uint64(e.lsn))
+	out = binary.AppendUvarint(out, e.term.Epoch)
+	out = binary.AppendUvarint(out, e.term.Sequence)
+	out = binary.AppendUvarint(out, uint64(len(e.statements)))
+	for _, st := range e.statements {
+		out = appendBytes(out, st.sql)
+		schema := byte(0)
+		if st.schema {
+			schema = 1
+		}
+		out = append(out, schema)
+		out = binary.AppendUvarint(out, uint64(st.at.UnixNano()))
+		out = binary.AppendUvarint(out, uint64(len(st.args)))
+		for _, v := range st.args {
+			var err error
+			if out, err = appendArgument(out, v); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return out, nil
+}
+
+func appendBytes[T string | []byte](out []byte, v T) []byte {
+	out = binary.AppendUvarint(out, uint64(len(v)))
+	return append(out, v...)
+}
+
+func appendArgument(out []byte, v driver.Value) ([]byte, error) {
+	switch x := v.(type) {
+	case nil:
+		return append(out, valueNull), nil
+	case int64:
+		return binary.AppendUvarint(append(out, valueInteger), uint64(x)), nil
+	case float64:
+		return binary.AppendUvarint(append(out, valueFloat), math.Float64bits(x)), nil
+	case string:
+		return appendBytes(append(out, valueText), x), nil
+	case []byte:
+		return appendBytes(append(out, valueBytes), x), nil
+	}
+	return nil, fmt.Errorf("log entry: parameter of type %T", v)
+}
+
+// decodeEntry reads the body of an entry message.
+func decodeEntry(data []byte) (entry, error) {
+	r := &reader{data: data}
+	e := entry{lsn: position.LSN(r.number())}
+	e.term = position.Term{Epoch: r.number(), Sequence: r.number()}
+	count := r.count()
+	for range count {
+		st := logStatement{sql: string(r.bytes()), schema: r.flag()}
+		st.at = time.Unix(0, int64(r.number()))
+		args := r.count()
+		for range args {
+			st.args = append(st.args, r.argument())
+		}
+		if r.err != nil {
+			return entry{}, r.err
+		}
+		e.statements = append(e.statements, st)
+	}
+	return e, r.end()
+}
+
+func (r *reader) flag() bool {
+	if len(r.data) == 0 || r.data[0] > 1 {
+		r.fail("flag")
+		return false
+	}
+	v := r.data[0] == 1
+	r.data = r.data[1:]
+	return v
+}
+
+func (r *reader) argument() driver.Value {
+	if len(r.data) == 0 {
+		r.fail("value")
+		return nil
+	}
+	tag := r.data[0]
+	r.data = r.data[1:]
+	switch tag {
+	case valueNull:
+		return nil
+	case valueInteger:
+		return int64(r.number())
+	case valueFloat:
+		return math.Float64frombits(r.number())
+	case valueText:
+		return string(r.bytes())
+	case valueBytes:
+		return append([]byte{}, r.bytes()...)
+	}
+	r.fail("value tag")
+	return nil
+}
+
+// errTermOver ends a stream whose term is no longer that of both ends.
+var errTermOver = errors.New("the term is over")
--- /dev/null
+++ b/internal/backend/standin/terms.go
@@ -0,0 +1,284 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/backend"
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// followWait bounds how long Follow waits for the first answer of the new
+// primary; after it the replica goes on connecting in the background.
+const followWait = time.Second
+
+func staleTerm(asked, own position.Term) error {
+	return failf(backend.SQLStateNotInPrerequisiteState, "stale term %s: the instance is in term %s", asked, own)
+}
+
+var errNotStarted = failf(backend.SQLStateNotInPrerequisiteState, "the instance is not started")
+
+// RaiseTerm makes the instance refuse everything of a lower term than t. The
+// current term is accepted and changes nothing.
+func (i *Instance) RaiseTerm(t position.Term) (backend.Status, error) {
+	i.mu.Lock()
+	err := i.raiseLocked(t)
+	i.mu.Unlock()
+	return i.Status(), err
+}
+
+func (i *Instance) raiseLocked(t position.Term) error {
+	switch t.Compare(i.state.term) {
+	case -1:
+		return staleTerm(t, i.state.term)
+	case 0:
+		return nil
+	}
+	i.state.term = t
+	i.state.primary = ""
+	i.stopFollowerLocked()
+	i.closeWriterLocked()
+	i.setRoleLocked(backend.RoleFenced)
+	return nil
+}
+
+// Promote makes a fenced instance primary of exactly its current term. The
+// first entry of the term is appended, so that the last log term is the new
+// one and a majority that receives it has received all earlier entries.
+func (i *Instance) Promote(t position.Term) (backend.Status, error) {
+	i.applyMu.Lock()
+	defer i.applyMu.Unlock()
+	i.mu.Lock()
+	if i.state.role == backend.RolePrimary && i.state.term == t {
+		i.mu.Unlock()
+		return i.Status(), nil
+	}
+	err := i.mayPromoteLocked(t)
+	i.mu.Unlock()
+	if err != nil {
+		return i.Status(), err
+	}
+	// A fenced instance receives nothing, so the end of the log is final
+	// unless the term is raised meanwhile, which is checked again below.
+	for i.applyNextLocked() {
+	}
+	i.mu.Lock()
+	err = i.mayPromoteLocked(t)
+	if err == nil {
+		err = i.promoteLocked()
+	}
+	i.mu.Unlock()
+	if err == nil {
+		i.applyNextLocked()
+	}
+	return i.Status(), err
+}
+
+func (i *Instance) mayPromoteLocked(t position.Term) error {
+	st := &i.state
+	switch {
+	case i.db == nil:
+		return errNotStarted
+	case t.Less(st.term):
+		return staleTerm(t, st.term)
+	case t != st.term:
+		return failf(backend.SQLStateNotInPrerequisiteState,
+			"promotion in term %s: the instance is in term %s and its term must be raised first", t, st.term)
+	case t.IsZero():
+		return failf(backend.SQLStateNotInPrerequisiteState, "promotion in term %s: the first term is above it", t)
+	case st.role != backend.RoleFenced:
+		return failf(backend.SQLStateNotInPrerequisiteState,
+			"promotion in term %s: the instance follows %s in this term", t, st.primary)
+	}
+	return nil
+}
+
+func (i *Instance) promoteLocked() error {
+	if err := i.openWriterLocked(); err != nil {
+		return err
+	}
+	st := &i.state
+	st.termStart = st.end() + 1
+	st.confirmed = 0
+	st.peers = map[string]*peerProgress{}
+	st.pingSequence, st.pingConfirmed = 0, 0
+	st.quiescedUntil = time.Time{}
+	i.appendLocked(nil)
+	i.setRoleLocked(backend.RolePrimary)
+	return nil
+}
+
+// Follow makes the instance replicate from the primary at address in term t.
+// A term above its own is raised first. Within a term it follows only one
+// primary, because entries that it acknowledged must not be dropped.
+func (i *Instance) Follow(ctx context.Context, t position.Term, address string) (backend.Status, error) {
+	i.mu.Lock()
+	err := i.followLocked(t, address)
+	f := i.follower
+	i.mu.Unlock()
+	if err != nil {
+		return i.Status(), err
+	}
+	timer := time.NewTimer(followWait)
+	defer timer.Stop()
+	select {
+	case <-f.settled:
+	case <-f.ctx.Done():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return i.Status(), nil
+}
+
+func (i *Instance) followLocked(t position.Term, address string) error {
+	if err := i.raiseLocked(t); err != nil {
+		return err
+	}
+	st := &i.state
+	switch {
+	case i.db == nil:
+		return errNotStarted
+	case address == "" || t.IsZero():
+		return failf(stateInvalidParameter, "follow: a primary address and a term above 0.0 are needed")
+	case st.role == backend.RolePrimary:
+		return failf(backend.SQLStateNotInPrerequisiteState, "follow: the instance is primary of term %s", t)
+	case st.role == backend.RoleReplica && st.primary != address:
+		return failf(backend.SQLStateNotInPrerequisiteState, "follow: the instance follows %s in term %s", st.primary, t)
+	case st.role == backend.RoleReplica && i.follower != nil:
+		return nil
+	}
+	st.primary = address
+	i.setRoleLocked(backend.RoleReplica)
+	i.startFollowerLocked()
+	return nil
+}
+
+// quiesce refuses new write transactions until limit has passed and waits for
+// the open one. On failure it is released at once.
+func (i *Instance) quiesce(ctx context.Context, limit time.Duration) error {
+	i.mu.Lock()
+	w := i.writer
+	if w == nil {
+		i.mu.Unlock()
+		return failf(backend.SQLStateNotInPrerequisiteState, "quiesce: the instance is not primary")
+	}
+	i.state.quiescedUntil = time.Now().Add(limit)
+	i.mu.Unlock()
+	select {
+	case w.lock <- struct{}{}:
+		w.release()
+		return nil
+	case <-w.aborted:
+		return failf(backend.SQLStateNotInPrerequisiteState, "quiesce: the instance is no longer primary")
+	case <-ctx.Done():
+	}
+	i.mu.Lock()
+	i.state.quiescedUntil = time.Time{}
+	i.mu.Unlock()
+	return ctx.Err()
+}
+
+// waitReplicated waits until a majority received p in the present term. The
+// zero position needs no wait.
+func (i *Instance) waitReplicated(ctx context.Context, p position.Position) error {
+	if p.IsZero() {
+		return nil
+	}
+	return i.await(ctx, func() (bool, error) {
+		st := &i.state
+		if st.role != backend.RolePrimary || st.term != p.Term {
+			return false, failf(backend.SQLStateNotInPrerequisiteState,
+				"position %s: the instance is %s in term %s", p, st.role, st.term)
+		}
+		if p.LSN > st.end() {
+			return false, failf(backend.SQLStateNotInPrerequisiteState, "position %s is not in the log", p)
+		}
+		return st.confirmed >= p.LSN, nil
+	})
+}
+
+// confirmPrimary waits until a majority acknowledged the term after the call
+// began.
+func (i *Instance) confirmPrimary(ctx context.Context) (position.Term, error) {
+	i.mu.Lock()
+	term := i.state.term
+	ping := i.beginPingLocked()
+	i.mu.Unlock()
+	err := i.await(ctx, func() (bool, error) {
+		st := &i.state
+		if st.role != backend.RolePrimary || st.term != term {
+			return false, failf(backend.SQLStateNotInPrerequisiteState,
+				"confirm primary: the instance is %s in term %s", st.role, st.term)
+		}
+		return st.pingConfirmed >= ping, nil
+	})
+	return term, err
+}
+
+// guard waits until the applied position contains wanted and, if maxAge is
+// not negative, the data contains everything that was committed maxAge before
+// the call began.
+func (i *Instance) guard(ctx context.Context, wanted position.Position, maxAge time.Duration) (guardAnswer, error) {
+	began := time.Now()
+	if err := i.await(ctx, func() (bool, error) { return i.containsLocked(wanted) }); err != nil {
+		return guardAnswer{}, err
+	}
+	age := time.Duration(-1)
+	if maxAge >= 0 {
+		var err error
+		if age, err = i.awaitAge(ctx, began, maxAge); err != nil {
+			return guardAnswer{}, err
+		}
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	out := guardAnswer{Applied: i.state.at(i.state.applied), AgeMS: age.Milliseconds()}
+	if age < 0 {
+		out.AgeMS = -1
+	}
+	return out, nil
+}
+
+// containsLocked fails at once if the position can't come: it is on a fork,
+// or after the end of a term that has ended here.
+func (i *Instance) containsLocked(wanted position.Position) (bool, error) {
+	st := &i.state
+	if st.history.Satisfies(st.applied, wanted) {
+		return true, nil
+	}
+	if !st.history.Contains(wanted) && wanted.Term.Compare(st.lastTerm()) <= 0 {
+		return false, failf(backend.SQLStateNotInPrerequisiteState,
+			"position %s is not in the history of this instance", wanted)
+	}
+	return false, nil
+}
+
+// awaitAge waits until the data is at most maxAge older than began and
+// returns its age at began.
+func (i *Instance) awaitAge(ctx context.Context, began time.Time, maxAge time.Duration) (time.Duration, error) {
+	i.mu.Lock()
+	primary := i.state.role == backend.RolePrimary
+	if f := i.follower; f != nil && began.Sub(i.state.freshAsOf) > maxAge {
+		f.askNow()
+	}
+	i.mu.Unlock()
+	if primary {
+		// A primary's data is current only if no other was promoted.
+		_, err := i.confirmPrimary(ctx)
+		return 0, err
+	}
+	var age time.Duration
+	err := i.await(ctx, func() (bool, error) {
+		age = max(0, began.Sub(i.state.freshAsOf))
+		return age <= maxAge, nil
+	})
+	return age, err
+}
+
+// logFailure writes a warning about the replication stream.
+func (i *Instance) logFailure(step, peer string, err error) {
+	i.log.Warn("replication", zap.String(logging.FieldStep, step), zap.String(logging.FieldPeer, peer), zap.Error(err))
+}
--- /dev/null
+++ b/internal/backend/standin/writer.go
@@ -0,0 +1,145 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/bramleylever/bramleylever/internal/backend"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// writer runs the write transactions of a primary in one term, one at a time.
+type writer struct {
+	term    position.Term
+	db      *database
+	lock    chan struct{} // holds a token while a transaction is open
+	aborted chan struct{} // closed when the primary loses its role
+}
+
+var errAborted = failf(backend.SQLStateReadOnly, "the transaction was aborted because the instance is no longer primary")
+
+// isAborted reports whether the primary lost its role.
+func (w *writer) isAborted() bool {
+	select {
+	case <-w.aborted:
+		return true
+	default:
+		return false
+	}
+}
+
+// release ends the open transaction's claim on the writer.
+func (w *writer) release() { <-w.lock }
+
+// openWriterLocked copies the read database, which must hold all entries.
+func (i *Instance) openWriterLocked() error {
+	image, err := i.db.serialize()
+	if err != nil {
+		return err
+	}
+	db, err := openDatabase(image, i.replica.Load)
+	if err != nil {
+		return err
+	}
+	i.writer = &writer{
+		term:    i.state.term,
+		db:      db,
+		lock:    make(chan struct{}, 1),
+		aborted: make(chan struct{}),
+	}
+	return nil
+}
+
+// closeWriterLocked aborts the open write transaction and refuses new ones.
+func (i *Instance) closeWriterLocked() {
+	w := i.writer
+	if w == nil {
+		return
+	}
+	i.writer = nil
+	close(w.aborted)
+	go func() {
+		w.lock <- struct{}{}
+		w.db.close()
+	}()
+}
+
+// acquireWriter claims the writer for a transaction. It fails with 25006
+// while the instance takes no writes.
+func (i *Instance) acquireWriter(ctx context.Context, what string) (*writer, error) {
+	w, err := i.currentWriter(what)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case w.lock <- struct{}{}:
+	default:
+		select {
+		case w.lock <- struct{}{}:
+		case <-w.aborted:
+			return nil, readOnlyError(what)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	// A quiesce or a higher term may have come while this waited.
+	if now, err := i.currentWriter(what); err != nil || now != w {
+		w.release()
+		return nil, readOnlyError(what)
+	}
+	return w, nil
+}
+
+func (i *Instance) currentWriter(what string) (*writer, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.writer == nil || time.Now().Before(i.state.quiescedUntil) {
+		return nil, readOnlyError(what)
+	}
+	return i.writer, nil
+}
+
+// commit ends the transaction that holds w and logs its statements. The zero
+// position means that nothing was changed.
+func (i *Instance) commit(w *writer, statements []logStatement) (position.Position, error) {
+	if w.isAborted() {
+		return position.Position{}, errAborted
+	}
+	if err := w.db.command("COMMIT"); err != nil {
+		if errors.Is(err, errDatabaseClosed) {
+			return position.Position{}, errAborted
+		}
+		return position.Position{}, err
+	}
+	if len(statements) == 0 {
+		return position.Position{}, nil
+	}
+	p, ok := i.appendCommit(w, statements)
+	if !ok {
+		return position.Position{}, errAborted
+	}
+	i.applyTo(p.LSN)
+	return p, nil
+}
+
+// appendCommit logs a transaction if the writer is still in force. Otherwise
+// the commit has no effect: the writer's database is thrown away.
+func (i *Instance) appendCommit(w *writer, statements []logStatement) (position.Position, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.writer != w {
+		return position.Position{}, false
+	}
+	return i.appendLocked(statements), true
+}
+
+// appendLocked logs a transaction in the present term.
+func (i *Instance) appendLocked(statements []logStatement) position.Position {
+	st := &i.state
+	p := position.Position{Term: st.term, LSN: st.end() + 1}
+	st.appendEntry(entry{lsn: p.LSN, term: p.Term, statements: statements, received: time.Now()})
+	i.updateConfirmedLocked()
+	i.broadcastLocked()
+	return p
+}
