--- /dev/null
+++ b/internal/platform/standin/calls.go
@@ -0,0 +1,86 @@
+package standin
+
+import (
+	"context"
+	"maps"
+	"net"
+	"sync"
+
+	"google.golang.org/grpc/peer"
+
+	pb "github.com/bramleylever/bramleylever/api/etcd/etcdserverpb"
+)
+
+// CallKind names a kind of call for counting.
+type CallKind string
+
+// The kinds of calls. A watch counts once when it is created.
+const (
+	CallRange     CallKind = "range"
+	CallTxn       CallKind = "txn"
+	CallGrant     CallKind = "lease_grant"
+	CallRevoke    CallKind = "lease_revoke"
+	CallKeepAlive CallKind = "lease_keep_alive"
+	CallWatch     CallKind = "watch"
+	CallProgress  CallKind = "watch_progress"
+)
+
+func kindOf(request any) CallKind {
+	switch request.(type) {
+	case *pb.RangeRequest:
+		return CallRange
+	case *pb.TxnRequest:
+		return CallTxn
+	case *pb.LeaseGrantRequest:
+		return CallGrant
+	default:
+		return CallRevoke
+	}
+}
+
+// callCounter counts calls by the client's IP address and by kind.
+type callCounter struct {
+	mu    sync.Mutex
+	calls map[string]map[CallKind]int64
+}
+
+func newCallCounter() *callCounter {
+	return &callCounter{calls: map[string]map[CallKind]int64{}}
+}
+
+func (c *callCounter) add(ctx context.Context, kind CallKind) {
+	client := "unknown"
+	if p, ok := peer.FromContext(ctx); ok {
+		if host, _, err := net.SplitHostPort(p.Addr.String()); err == nil {
+			client = host
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.calls[client] == nil {
+		c.calls[client] = map[CallKind]int64{}
+	}
+	c.calls[client][kind]++
+}
+
+// CallsByClient returns the calls so far by the client's IP address and kind.
+func (s *Server) CallsByClient() map[string]map[CallKind]int64 {
+	s.calls.mu.Lock()
+	defer s.calls.mu.Unlock()
+	out := make(map[string]map[CallKind]int64, len(s.calls.calls))
+	for client, kinds := range s.calls.calls {
+		out[client] = maps.Clone(kinds)
+	}
+	return out
+}
+
+// Calls returns the calls so far by kind, over all clients.
+func (s *Server) Calls() map[CallKind]int64 {
+	out := map[CallKind]int64{}
+	for _, kinds := range s.CallsByClient() {
+		for kind, count := range kinds {
+			out[kind] += count
+		}
+	}
+	return out
+}
