Learn the outcome of store writes; set the stand-in's faults over HTTP

An answer of the store can be lost after the change took effect, and repeating the write blindly could run it twice. platform.Apply looks for the operation id in the key and in its history, and repeats the transaction only under the same compares. The stand-in takes its faults by method or by POST /faults.

--- /dev/null
+++ b/internal/platform/standin/admin.go
@@ -0,0 +1,84 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	maxFaultsBytes    = 64 << 10
+	readHeaderTimeout = 2 * time.Second
+)
+
+// Admin is the HTTP endpoint that sets the faults of a stand-in in another
+// process: GET and POST /faults, and GET /calls.
+type Admin struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// ServeAdmin starts the endpoint; port 0 lets the kernel choose.
+func (s *Server) ServeAdmin(address string) (*Admin, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: address %s: %w", address, err)
+	}
+	a := &Admin{
+		listener: listener,
+		server:   &http.Server{Handler: s.adminHandler(), ReadHeaderTimeout: readHeaderTimeout},
+	}
+	go func() { _ = a.server.Serve(listener) }()
+	return a, nil
+}
+
+// Address returns the address that the endpoint listens on.
+func (a *Admin) Address() string { return a.listener.Addr().String() }
+
+// Close ends the endpoint.
+func (a *Admin) Close() error { return a.server.Close() }
+
+func (s *Server) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, s.Faults())
+	})
+	mux.HandleFunc("POST /faults", func(w http.ResponseWriter, r *http.Request) {
+		f, err := decodeFaults(http.MaxBytesReader(w, r.Body, maxFaultsBytes))
+		if err == nil {
+			err = s.SetFaults(f)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		writeJSON(w, s.Faults())
+	})
+	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, s.CallsByClient())
+	})
+	return mux
+}
+
+// decodeFaults reads one JSON object and refuses unknown fields.
+func decodeFaults(r io.Reader) (Faults, error) {
+	decoder := json.NewDecoder(r)
+	decoder.DisallowUnknownFields()
+	var f Faults
+	if err := decoder.Decode(&f); err != nil {
+		return Faults{}, fmt.Errorf("decode faults: %w", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Faults{}, errors.New("decode faults: data after the object")
+	}
+	return f, nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/platform/standin/faults_test.go
@@ -0,0 +1,338 @@
+package standin_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/platform/standin"
+)
+
+const settleTimeout = 5 * time.Second
+
+// operation writes the key k, which must not exist yet.
+func operation() platform.Operation {
+	const key = "k"
+	id := platform.NewOperationID()
+	return platform.Operation{
+		ID: id,
+		Txn: platform.Txn{
+			Compares: []platform.Compare{{Key: key}},
+			Puts:     []platform.Put{{Key: key, Value: []byte(id)}},
+		},
+	}
+}
+
+func value(server *standin.Server, key string) string {
+	store := dial(server, "")
+	defer store.Close()
+	kv, _, err := store.Get(context.Background(), key)
+	Expect(err).NotTo(HaveOccurred())
+	return string(kv.Value)
+}
+
+var _ = Describe("Apply", func() {
+	type faultCase struct {
+		before func(*standin.Server)
+		// during runs while the operation is on its way.
+		during  func(*standin.Server)
+		wanted  error
+		applied bool
+	}
+
+	// Guards against a write that is run twice, reported as failed although it
+	// took effect, or reported as done although it was lost.
+	DescribeTable("reports what really happened",
+		func(c faultCase) {
+			server := start()
+			store := dial(server, "127.0.2.1")
+			defer store.Close()
+			_, _, err := store.Get(context.Background(), "k")
+			Expect(err).NotTo(HaveOccurred())
+			if c.before != nil {
+				c.before(server)
+			}
+			if c.during != nil {
+				go func() {
+					defer GinkgoRecover()
+					time.Sleep(100 * time.Millisecond)
+					c.during(server)
+				}()
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			o := operation()
+			revision, err := platform.Apply(ctx, store, o)
+			if c.wanted != nil {
+				Expect(err).To(MatchError(c.wanted))
+			} else {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(revision).To(Equal(int64(2)))
+			}
+			Expect(server.SetFaults(standin.Faults{})).To(Succeed())
+			Expect(value(server, "k") == o.ID).To(Equal(c.applied))
+		},
+		Entry("no fault", faultCase{applied: true}),
+		Entry("answer lost once", faultCase{
+			before:  func(s *standin.Server) { s.LoseAnswers(1) },
+			applied: true,
+		}),
+		Entry("answers lost again and again", faultCase{
+			before:  func(s *standin.Server) { s.LoseAnswers(3) },
+			applied: true,
+		}),
+		Entry("store down before", faultCase{
+			before: func(s *standin.Server) { s.SetDown(true) },
+			wanted: platform.ErrUnavailable,
+		}),
+		Entry("store down while the request waits", faultCase{
+			before:  func(s *standin.Server) { s.SetDelay(300 * time.Millisecond) },
+			during:  func(s *standin.Server) { s.SetDown(true) },
+			wanted:  platform.ErrOutcomeUnknown,
+			applied: true,
+		}),
+		Entry("store down for a while after the answer was lost", faultCase{
+			before: func(s *standin.Server) { s.SetDelay(200 * time.Millisecond) },
+			during: func(s *standin.Server) {
+				s.SetDown(true)
+				time.Sleep(300 * time.Millisecond)
+				Expect(s.SetFaults(standin.Faults{})).To(Succeed())
+			},
+			applied: true,
+		}),
+		Entry("request arrives after the caller gave up on the answer", faultCase{
+			before: func(s *standin.Server) { s.SetDelay(700 * time.Millisecond) },
+			during: func(s *standin.Server) {
+				time.Sleep(300 * time.Millisecond)
+				s.SetDelay(0)
+			},
+			applied: true,
+		}),
+		Entry("cut off and healed", faultCase{
+			before: func(s *standin.Server) { s.Cut(netip.MustParsePrefix("127.0.2.0/24")) },
+			during: func(s *standin.Server) {
+				time.Sleep(time.Second)
+				s.Cut()
+			},
+			applied: true,
+		}),
+		Entry("another client is cut off", faultCase{
+			before:  func(s *standin.Server) { s.Cut(netip.MustParsePrefix("127.0.3.0/24")) },
+			applied: true,
+		}),
+	)
+
+	// Guards against an own write that is taken for another's because a third
+	// write replaced it before the read-back.
+	It("finds a write that was replaced before it was read back", func() {
+		server := start()
+		store := dial(server, "127.0.2.1")
+		defer store.Close()
+		other := dial(server, "127.0.2.2")
+		defer other.Close()
+		_, _, err := store.Get(context.Background(), "k")
+		Expect(err).NotTo(HaveOccurred())
+
+		o := operation()
+		server.LoseAnswers(1)
+		_, err = store.Txn(context.Background(), o.Txn)
+		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+		_, err = other.Txn(context.Background(), platform.Txn{
+			Compares: []platform.Compare{{Key: "k", ModRevision: 2}},
+			Puts:     []platform.Put{{Key: "k", Value: []byte("other")}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+
+		server.LoseAnswers(1)
+		lossy := &conflictAsUnknown{Store: store}
+		revision, err := platform.Apply(context.Background(), lossy, o)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(revision).To(Equal(int64(2)))
+	})
+
+	// Guards against a guess when the store no longer keeps the proof.
+	It("leaves the outcome unknown if the history is compacted", func() {
+		server := start()
+		store := dial(server, "")
+		defer store.Close()
+		o := operation()
+		_, err := store.Txn(context.Background(), o.Txn)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Txn(context.Background(), platform.Txn{Puts: []platform.Put{{Key: "k", Value: []byte("other")}}})
+		Expect(err).NotTo(HaveOccurred())
+		server.Compact(2)
+		_, err = platform.Apply(context.Background(), &conflictAsUnknown{Store: store}, o)
+		Expect(err).To(MatchError(platform.ErrOutcomeUnknown))
+	})
+
+	// Guards against two writers that both believe they won.
+	It("lets exactly one of several racing writers win, though answers are lost", func() {
+		server := start()
+		server.LoseAnswers(4)
+		const writers = 8
+		var wait sync.WaitGroup
+		errs := make([]error, writers)
+		ids := make([]string, writers)
+		for i := range writers {
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				store := dial(server, "")
+				defer store.Close()
+				o := operation()
+				ids[i] = o.ID
+				_, errs[i] = platform.Apply(context.Background(), store, o)
+			}()
+		}
+		wait.Wait()
+		winner := value(server, "k")
+		for i, err := range errs {
+			if ids[i] == winner {
+				Expect(err).NotTo(HaveOccurred())
+			} else {
+				Expect(err).To(MatchError(platform.ErrConflict))
+			}
+		}
+		Expect(ids).To(ContainElement(winner))
+	})
+
+	// Guards against an operation that could take effect twice or not be found.
+	DescribeTable("refuses an operation that cannot be read back",
+		func(o platform.Operation) {
+			server := start()
+			store := dial(server, "")
+			defer store.Close()
+			_, err := platform.Apply(context.Background(), store, o)
+			Expect(err).To(HaveOccurred())
+			Expect(server.Revision()).To(Equal(int64(1)))
+		},
+		Entry("no id", platform.Operation{Txn: operation().Txn}),
+		Entry("no compare", platform.Operation{ID: "i", Txn: platform.Txn{
+			Puts: []platform.Put{{Key: "k", Value: []byte("i")}}}}),
+		Entry("id not in the value", platform.Operation{ID: "i", Txn: platform.Txn{
+			Compares: []platform.Compare{{Key: "k"}},
+			Puts:     []platform.Put{{Key: "k", Value: []byte("x")}}}}),
+		Entry("compared key not changed", platform.Operation{ID: "i", Txn: platform.Txn{
+			Compares: []platform.Compare{{Key: "other"}},
+			Puts:     []platform.Put{{Key: "k", Value: []byte("i")}}}}),
+	)
+})
+
+// conflictAsUnknown loses the first answer, whatever it was.
+type conflictAsUnknown struct {
+	platform.Store
+	lost bool
+}
+
+func (c *conflictAsUnknown) Txn(ctx context.Context, txn platform.Txn) (int64, error) {
+	revision, err := c.Store.Txn(ctx, txn)
+	if !c.lost {
+		c.lost = true
+		return 0, platform.ErrOutcomeUnknown
+	}
+	return revision, err
+}
+
+var _ = Describe("stand-in", func() {
+	// Guards against a watch that ends or skips changes because of a cut.
+	It("delivers the held changes after a cut", func() {
+		server := start()
+		watcher := dial(server, "127.0.2.1")
+		defer watcher.Close()
+		writer := dial(server, "127.0.3.1")
+		defer writer.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		updates, err := watcher.Watch(ctx, "k", 2)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(updates).Should(Receive())
+		server.Cut(netip.MustParsePrefix("127.0.2.1/32"))
+		_, err = writer.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: "k", Value: []byte("1")}}})
+		Expect(err).NotTo(HaveOccurred())
+		Consistently(func() bool {
+			select {
+			case u := <-updates:
+				return len(u.Events) > 0
+			default:
+				return false
+			}
+		}, 200*time.Millisecond).Should(BeFalse())
+		server.Cut()
+		Eventually(func() int { return len((<-updates).Events) }, settleTimeout).Should(Equal(1))
+	})
+
+	// Guards against a watcher that waits forever on a dead connection.
+	It("ends a watch that stays silent", func() {
+		server := start()
+		watcher := dial(server, "127.0.2.1")
+		defer watcher.Close()
+		updates, err := watcher.Watch(context.Background(), "k", 2)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(updates).Should(Receive())
+		server.Cut(netip.MustParsePrefix("127.0.2.1/32"))
+		Eventually(func() error { return (<-updates).Err }, settleTimeout).Should(MatchError(platform.ErrUnavailable))
+	})
+
+	// Guards against load on the store that nobody notices.
+	It("counts calls by client and kind, and a waiting watch once", func() {
+		server := start()
+		one, two := dial(server, "127.0.2.1"), dial(server, "127.0.2.2")
+		defer one.Close()
+		defer two.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for range 3 {
+			_, _, err := one.Get(ctx, "k")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		updates, err := two.Watch(ctx, "k", 0)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(updates).Should(Receive())
+		id, err := two.GrantLease(ctx, time.Minute)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = two.KeepAlive(ctx, id)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(two.RevokeLease(ctx, id)).To(Succeed())
+		calls := server.CallsByClient()
+		Expect(calls["127.0.2.1"]).To(Equal(map[standin.CallKind]int64{standin.CallRange: 3}))
+		delete(calls["127.0.2.2"], standin.CallProgress)
+		Expect(calls["127.0.2.2"]).To(Equal(map[standin.CallKind]int64{
+			standin.CallWatch: 1, standin.CallGrant: 1, standin.CallKeepAlive: 1, standin.CallRevoke: 1,
+		}))
+	})
+
+	// Guards against a mistyped fault that silently does nothing.
+	DescribeTable("sets faults over HTTP",
+		func(body string, status int, expected standin.Faults) {
+			server := start()
+			admin, err := server.ServeAdmin("127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(admin.Close)
+			url := fmt.Sprintf("http://%s/faults", admin.Address())
+			answer, err := http.Post(url, "application/json", strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			defer answer.Body.Close()
+			_, err = io.ReadAll(answer.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.StatusCode).To(Equal(status))
+			Expect(server.Faults()).To(Equal(expected))
+		},
+		Entry("all", `{"down":true,"delay_ms":5,"lose_answers":2,"cut":["10.0.0.0/8"]}`, http.StatusOK,
+			standin.Faults{Down: true, DelayMS: 5, LoseAnswers: 2, Cut: []string{"10.0.0.0/8"}}),
+		Entry("none", `{}`, http.StatusOK, standin.Faults{}),
+		Entry("unknown field", `{"dwon":true}`, http.StatusBadRequest, standin.Faults{}),
+		Entry("two objects", `{}{"down":true}`, http.StatusBadRequest, standin.Faults{}),
+		Entry("negative delay", `{"delay_ms":-1}`, http.StatusBadRequest, standin.Faults{}),
+		Entry("negative count", `{"lose_answers":-1}`, http.StatusBadRequest, standin.Faults{}),
+		Entry("no prefix", `{"cut":["10.0.0.1"]}`, http.StatusBadRequest, standin.Faults{}),
+	)
+})
