Add commands for the stand-ins

standin platform and standin database run the stand-ins as separate processes, for end-to-end tests and for a first look.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -70,7 +70,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return &ExitError{Code: ExitUsage, Err: err}
 	})
-	root.AddCommand(newVersion(env))
+	root.AddCommand(newStandin(env), newVersion(env))
 	return root
 }
 
