--- /dev/null
+++ b/internal/frontend/encode.go
@@ -0,0 +1,186 @@
+package frontend
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/bramleylever/bramleylever/internal/pool"
+	"github.com/bramleylever/bramleylever/internal/wire"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// guardKind says what is checked before a request.
+type guardKind uint8
+
+const (
+	guardNone guardKind = iota
+	// guardPosition checks the position and the age of the data.
+	guardPosition
+	// guardConfirm checks that the instance still is the primary.
+	guardConfirm
+)
+
+// guard is the check that is sent in front of a request.
+type guard struct {
+	kind     guardKind
+	position position.Position
+	wait     time.Duration
+	// maxAge is negative if the age does not matter.
+	maxAge time.Duration
+}
+
+func appendPosition(b []byte, p position.Position) []byte {
+	if p.IsZero() {
+		return b
+	}
+	b = strconv.AppendUint(b, p.Term.Epoch, 10)
+	b = append(b, '.')
+	b = strconv.AppendUint(b, p.Term.Sequence, 10)
+	b = append(b, '/')
+	return strconv.AppendUint(b, uint64(p.LSN), 10)
+}
+
+// append appends the guard's query.
+func (g *guard) append(b []byte) []byte {
+	b, at := wire.Begin(b, 'Q')
+	if g.kind == guardConfirm {
+		b = append(b, "SELECT cluster_confirm_primary("...)
+		b = strconv.AppendInt(b, g.wait.Milliseconds(), 10)
+		return wire.End(append(b, ")\x00"...), at)
+	}
+	b = append(b, "SELECT cluster_read_guard('"...)
+	b = appendPosition(b, g.position)
+	b = append(b, "', "...)
+	b = strconv.AppendInt(b, g.wait.Milliseconds(), 10)
+	b = append(b, ", "...)
+	age := int64(-1)
+	if g.maxAge >= 0 {
+		age = g.maxAge.Milliseconds()
+	}
+	b = strconv.AppendInt(b, age, 10)
+	return wire.End(append(b, ")\x00"...), at)
+}
+
+func appendWait(b []byte, wait time.Duration) []byte {
+	b, at := wire.Begin(b, 'Q')
+	b = append(b, "SELECT cluster_wait_replicated('last', "...)
+	b = strconv.AppendInt(b, wait.Milliseconds(), 10)
+	return wire.End(append(b, ")\x00"...), at)
+}
+
+// encode appends the batch for a connection and notes the answers that are
+// due. Statements that the connection does not have are prepared first.
+func (x *exchange) encode(b []byte) []byte {
+	ops := x.st.batch.ops
+	for i := range ops {
+		o := &ops[i]
+		if o.local() {
+			x.expect(item{kind: itemLocal, op: i})
+			continue
+		}
+		b = x.encodeOp(b, i, o)
+	}
+	return b
+}
+
+func (x *exchange) encodeOp(b []byte, i int, o *op) []byte {
+	raw := x.st.batch.frame(o)
+	switch o.kind {
+	case 'Q':
+		x.conn.Unnamed = pool.Hash{}
+		x.expect(item{kind: itemQuery, op: i})
+		return append(b, raw...)
+	case 'P':
+		return x.encodeParse(b, i, o)
+	case 'B':
+		b = x.ensure(b, i, o.stmt)
+		x.expect(item{kind: itemBind, op: i})
+		return x.encodeBind(b, o)
+	case 'D':
+		return x.encodeDescribe(b, i, o)
+	case 'E':
+		x.expect(item{kind: itemExecute, op: i})
+	case 'C':
+		x.expect(item{kind: itemClose, op: i})
+	case 'S':
+		x.expect(item{kind: itemSync, op: i})
+	}
+	return append(b, raw...)
+}
+
+// prepared reports whether the connection has a statement.
+func (x *exchange) prepared(stmt *statement) bool {
+	if !stmt.named {
+		return x.conn.Unnamed == stmt.hash
+	}
+	return x.conn.Statements.Use(stmt.hash)
+}
+
+func (x *exchange) encodeParse(b []byte, i int, o *op) []byte {
+	if x.prepared(o.stmt) {
+		x.expect(item{kind: itemLocal, op: i})
+		return b
+	}
+	return x.parse(b, item{kind: itemParse, op: i, hash: o.stmt.hash}, o.stmt)
+}
+
+// ensure prepares a statement that an earlier batch prepared elsewhere.
+func (x *exchange) ensure(b []byte, i int, stmt *statement) []byte {
+	if x.prepared(stmt) {
+		return b
+	}
+	return x.parse(b, item{kind: itemParse, hidden: true, op: i, hash: stmt.hash}, stmt)
+}
+
+func (x *exchange) parse(b []byte, it item, stmt *statement) []byte {
+	if stmt.named {
+		if evicted, full := x.conn.Statements.Add(stmt.hash); full {
+			b = x.closeStatement(b, evicted)
+		}
+	} else {
+		x.conn.Unnamed = stmt.hash
+	}
+	x.expect(it)
+	b, at := wire.Begin(b, 'P')
+	b = appendStatementName(b, stmt)
+	return wire.End(append(b, stmt.definition...), at)
+}
+
+func appendStatementName(b []byte, stmt *statement) []byte {
+	if stmt.named {
+		b = stmt.hash.AppendName(b)
+	}
+	return append(b, 0)
+}
+
+func (x *exchange) closeStatement(b []byte, hash pool.Hash) []byte {
+	x.expect(item{kind: itemClose, hidden: true})
+	b, at := wire.Begin(b, 'C')
+	b = append(b, 'S')
+	b = hash.AppendName(b)
+	return wire.End(append(b, 0), at)
+}
+
+// encodeBind replaces the session's name of the statement by the hash.
+func (x *exchange) encodeBind(b []byte, o *op) []byte {
+	body := x.st.batch.body(o)
+	portal, rest, _ := wire.CString(body)
+	_, values, _ := wire.CString(rest)
+	b, at := wire.Begin(b, 'B')
+	b = append(append(b, portal...), 0)
+	b = appendStatementName(b, o.stmt)
+	return wire.End(append(b, values...), at)
+}
+
+func (x *exchange) encodeDescribe(b []byte, i int, o *op) []byte {
+	if o.sub == 'P' {
+		x.expect(item{kind: itemDescribePortal, op: i})
+		return append(b, x.st.batch.frame(o)...)
+	}
+	b = x.ensure(b, i, o.stmt)
+	x.expect(item{kind: itemDescribeStatement, op: i})
+	b, at := wire.Begin(b, 'D')
+	b = append(b, 'S')
+	b = appendStatementName(b, o.stmt)
+	return wire.End(b, at)
+}
--- /dev/null
+++ b/internal/frontend/limits.go
@@ -0,0 +1,110 @@
+package frontend
+
+import (
+	"sync"
+	"time"
+)
+
+// Limits of repeated requests: they may add at most a tenth to the load, and a
+// host with few requests may still repeat a few per second.
+const (
+	retryRatio         = 0.1
+	retriesPerSecond   = 3
+	retryBurstSeconds  = 10
+	maxAccruedRetries  = 1000
+	initialRetryTokens = retriesPerSecond * retryBurstSeconds
+)
+
+// retryBudget is a deterministic core that limits repeated requests to 10% of
+// the requests, but at least 3 per second.
+type retryBudget struct {
+	mu sync.Mutex
+	// earned holds the tokens of requests, floor those of time.
+	earned float64
+	floor  float64
+	last   time.Time
+}
+
+func newRetryBudget() *retryBudget { return &retryBudget{floor: initialRetryTokens} }
+
+// request counts a first attempt.
+func (b *retryBudget) request() {
+	b.mu.Lock()
+	b.earned = min(b.earned+retryRatio, maxAccruedRetries)
+	b.mu.Unlock()
+}
+
+// take reports whether a request may be sent once more.
+func (b *retryBudget) take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.last.IsZero() && now.After(b.last) {
+		b.floor = min(b.floor+now.Sub(b.last).Seconds()*retriesPerSecond, initialRetryTokens)
+	}
+	b.last = now
+	switch {
+	case b.earned >= 1:
+		b.earned--
+	case b.floor >= 1:
+		b.floor--
+	default:
+		return false
+	}
+	return true
+}
+
+// holdQueue bounds the requests of a host that wait for a primary.
+type holdQueue struct {
+	mu          sync.Mutex
+	maxRequests int
+	maxBytes    int
+	requests    int
+	bytes       int
+}
+
+func newHoldQueue(maxRequests, maxBytes int) *holdQueue {
+	return &holdQueue{maxRequests: maxRequests, maxBytes: maxBytes}
+}
+
+// enter reports whether a request of a size fits into the queue.
+func (q *holdQueue) enter(size int) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.requests >= q.maxRequests || q.bytes+size > q.maxBytes {
+		return false
+	}
+	q.requests++
+	q.bytes += size
+	return true
+}
+
+// leave takes a request of a size out of the queue.
+func (q *holdQueue) leave(size int) {
+	q.mu.Lock()
+	q.requests--
+	q.bytes -= size
+	q.mu.Unlock()
+}
+
+// fallbackLimit bounds the reads that run on primaries because replicas are
+// behind, so that lag does not turn into overload.
+type fallbackLimit struct {
+	mu      sync.Mutex
+	running map[string]int
+}
+
+func newFallbackLimit() *fallbackLimit { return &fallbackLimit{running: map[string]int{}} }
+
+// allowed reports whether one more read may run on a primary to which the host
+// may hold the given number of connections.
+func (f *fallbackLimit) allowed(instance string, connections int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.running[instance] < max(connections/2, 1)
+}
+
+func (f *fallbackLimit) add(instance string, n int) {
+	f.mu.Lock()
+	f.running[instance] += n
+	f.mu.Unlock()
+}
--- /dev/null
+++ b/internal/frontend/local.go
@@ -0,0 +1,116 @@
+package frontend
+
+import (
+	"encoding/binary"
+
+	"github.com/bramleylever/bramleylever/internal/wire"
+)
+
+// textTypeOID is the type of the column that SHOW returns.
+const textTypeOID = 25
+
+// answerLocal answers a message that needs no instance.
+func (x *exchange) answerLocal(o *op) error {
+	var b []byte
+	switch o.kind {
+	case 'P':
+		b = wire.AppendEmpty(b, '1')
+	case 'B':
+		b = wire.AppendEmpty(b, '2')
+	case 'C':
+		b = wire.AppendEmpty(b, '3')
+	case 'D':
+		b = describeLocal(o)
+	case 'E', 'Q':
+		return x.runLocal(o)
+	}
+	return x.emit(b)
+}
+
+func describeLocal(o *op) []byte {
+	var b []byte
+	if o.sub == 'S' {
+		var at int
+		b, at = wire.Begin(b, 't')
+		b = wire.End(append(b, 0, 0), at)
+	}
+	info := &o.stmt.info
+	if info.local != localShow {
+		return wire.AppendEmpty(b, 'n')
+	}
+	return appendTextColumn(b, info.settings[0].name)
+}
+
+func appendTextColumn(b []byte, name string) []byte {
+	b, at := wire.Begin(b, 'T')
+	b = append(b, 0, 1)
+	b = wire.AppendString(b, name)
+	b = binary.BigEndian.AppendUint32(b, 0)
+	b = binary.BigEndian.AppendUint16(b, 0)
+	b = binary.BigEndian.AppendUint32(b, textTypeOID)
+	b = append(b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0)
+	return wire.End(b, at)
+}
+
+func appendTextRow(b []byte, value string) []byte {
+	b, at := wire.Begin(b, 'D')
+	b = append(b, 0, 1)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(value)))
+	return wire.End(append(b, value...), at)
+}
+
+// runLocal runs a statement that the proxy answers.
+func (x *exchange) runLocal(o *op) error {
+	var b []byte
+	st := x.st
+	tag := ""
+	switch o.info.local {
+	case localSet:
+		for _, v := range o.info.settings {
+			if err := st.applySetting(v.name, v.value, v.useDefault); err != nil {
+				x.failed = true
+				x.skipToSyncAfterLocal(o)
+				return x.emit(wire.AppendError(nil, "ERROR", err.code, err.message))
+			}
+		}
+		tag = "SET"
+	case localShow:
+		name := o.info.settings[0].name
+		if o.kind == 'Q' {
+			b = appendTextColumn(b, name)
+		}
+		b = appendTextRow(b, st.show(name))
+		tag = "SHOW"
+	case localDiscardAll:
+		st.forgetAll()
+		st.parameters = nil
+		tag = "DISCARD ALL"
+	case localResetAll:
+		st.parameters = nil
+		tag = "RESET"
+	case localDeallocateAll:
+		st.forgetAll()
+		tag = "DEALLOCATE ALL"
+	case localUnlisten:
+		tag = "UNLISTEN"
+	case localNone:
+		if o.info.class == ClassEmpty {
+			return x.emit(wire.AppendEmpty(nil, 'I'))
+		}
+		// COMMIT of a transaction that was already rolled back.
+		tag = "ROLLBACK"
+	}
+	return x.emit(wire.AppendComplete(b, tag))
+}
+
+func (x *exchange) skipToSyncAfterLocal(o *op) {
+	if o.kind == 'E' {
+		x.skipToSync()
+	}
+}
+
+// forgetAll drops the prepared statements of the session.
+func (s *state) forgetAll() {
+	s.statements = nil
+	s.statementBytes = 0
+}
--- /dev/null
+++ b/internal/frontend/metrics.go
@@ -0,0 +1,49 @@
+package frontend
+
+import (
+	"github.com/rcrowley/go-metrics"
+)
+
+// ending is how a request ended.
+type ending uint8
+
+const (
+	endedAnswered ending = iota
+	endedNotRun
+	endedUnknown
+	endingCount
+)
+
+var endingNames = [endingCount]string{"answered", "not_run", "unknown"}
+
+// serverMetrics are registered once, so that counting needs no look-up.
+type serverMetrics struct {
+	statements [ClassUnsupported + 1][endingCount]metrics.Counter
+	// reads by target.
+	readsReplica, readsPrimary, readsStale metrics.Counter
+	retries, forwarded, fallbacks          metrics.Counter
+	refusedConnections, cancelled          metrics.Counter
+	queueTime, replicateWait               metrics.Timer
+}
+
+func newServerMetrics(r metrics.Registry) *serverMetrics {
+	m := &serverMetrics{
+		readsReplica:       metrics.GetOrRegisterCounter("routing.reads_replica_requests", r),
+		readsPrimary:       metrics.GetOrRegisterCounter("routing.reads_primary_requests", r),
+		readsStale:         metrics.GetOrRegisterCounter("routing.reads_replica_with_age_requests", r),
+		retries:            metrics.GetOrRegisterCounter("frontend.retried_requests", r),
+		forwarded:          metrics.GetOrRegisterCounter("frontend.forwarded_requests", r),
+		fallbacks:          metrics.GetOrRegisterCounter("routing.fallback_requests", r),
+		refusedConnections: metrics.GetOrRegisterCounter("frontend.refused_connections", r),
+		cancelled:          metrics.GetOrRegisterCounter("frontend.cancelled_requests", r),
+		queueTime:          metrics.GetOrRegisterTimer("frontend.queue_time_seconds", r),
+		replicateWait:      metrics.GetOrRegisterTimer("frontend.replicate_wait_seconds", r),
+	}
+	for class := range m.statements {
+		for e := range m.statements[class] {
+			name := "frontend." + Class(class).String() + "_" + endingNames[e] + "_requests"
+			m.statements[class][e] = metrics.GetOrRegisterCounter(name, r)
+		}
+	}
+	return m
+}
--- /dev/null
+++ b/internal/frontend/route.go
@@ -0,0 +1,476 @@
+package frontend
+
+import (
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/internal/pool"
+	"github.com/bramleylever/bramleylever/internal/routing"
+	"github.com/bramleylever/bramleylever/internal/wire"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// attempt is the progress of one request that starts outside a transaction.
+type attempt struct {
+	plan     *plan
+	write    bool
+	deadline time.Time
+	// mark is what the caller had received before the request.
+	mark uint64
+	// excluded are instances on which the request failed.
+	excluded [4]string
+	failures int
+	// fallback reports that a replica could not serve the read.
+	fallback bool
+	// held is the size with which the request is in the queue; 0 outside.
+	held    int
+	changed <-chan struct{}
+	began   time.Time
+}
+
+// verdict is what follows an attempt.
+type verdict uint8
+
+const (
+	// verdictDone ends the request; the session goes on.
+	verdictDone verdict = iota
+	// verdictClose ends the session.
+	verdictClose
+	// verdictAgain sends the request again.
+	verdictAgain
+	// verdictWait sends the request again after a change of the topology.
+	verdictWait
+)
+
+// runRouted chooses an instance for a batch outside a transaction and runs it,
+// again if that is safe.
+func (s *session) runRouted(p *plan) bool {
+	now := s.srv.cfg.Now()
+	a := attempt{
+		plan:     p,
+		write:    p.class == ClassBegin || p.class == ClassWrite,
+		deadline: now.Add(s.srv.cfg.QueueTimeout),
+		mark:     s.out.Written(),
+	}
+	s.srv.retries.request()
+	defer s.leaveQueue(&a)
+	for {
+		switch s.try(&a) {
+		case verdictDone:
+			return true
+		case verdictClose:
+			return false
+		case verdictWait:
+			if refused := s.waitForPrimary(&a); refused != nil {
+				if s.ended(endedNotRun) {
+					return false
+				}
+				s.count(p, endedNotRun)
+				return s.refuse(refused, p.synced)
+			}
+		case verdictAgain:
+		}
+	}
+}
+
+// queuePoll bounds the wait for a change of the topology, because an instance
+// can become reachable again without one.
+const queuePoll = 50 * time.Millisecond
+
+// waitForPrimary keeps the request in the bounded queue until the topology
+// changes or some time has passed.
+func (s *session) waitForPrimary(a *attempt) *sqlError {
+	now := s.srv.cfg.Now()
+	if a.held == 0 {
+		size := max(len(s.st.batch.data), 1)
+		if !s.srv.hold.enter(size) {
+			return &sqlError{"57P03", "not run: no primary is available and the queue is full"}
+		}
+		a.held = size
+		a.began = now
+	}
+	left := a.deadline.Sub(now)
+	if left <= 0 {
+		return &sqlError{"57P03", "not run: no primary became available in time"}
+	}
+	a.failures, a.fallback = 0, false
+	if a.changed == nil {
+		// The first attempt did not hold the channel, so a change may have
+		// been missed: try once more before waiting.
+		a.changed = s.srv.cfg.Topology.Changed()
+		return nil
+	}
+	timer := time.NewTimer(min(left, queuePoll))
+	defer timer.Stop()
+	select {
+	case <-a.changed:
+	case <-timer.C:
+	case <-s.ending:
+		return &sqlError{"57P01", "not run: terminating connection"}
+	}
+	a.changed = s.srv.cfg.Topology.Changed()
+	return nil
+}
+
+func (s *session) leaveQueue(a *attempt) {
+	if a.held > 0 {
+		s.srv.hold.leave(a.held)
+		s.srv.metrics.queueTime.Update(s.srv.cfg.Now().Sub(a.began))
+	}
+}
+
+// decide chooses the instance for the next attempt.
+func (s *session) decide(a *attempt) routing.Decision {
+	in := &s.input
+	in.Write = a.write
+	in.Position = s.st.vector[s.st.database]
+	in.MaxStaleness = s.st.maxStaleness
+	in.Fallback = a.fallback
+	in.Roamed = s.st.sessionID != "" && in.Position.IsZero()
+	s.fillCandidates(a)
+	for i := range in.Candidates {
+		if c := &in.Candidates[i]; c.Primary {
+			in.FallbackAllowed = s.srv.fallbacks.allowed(c.Instance, s.srv.pools.Limit(c.Instance))
+		}
+	}
+	d := routing.Decide(in, s.srv.policy)
+	instance := ""
+	if d.Target != routing.None {
+		instance = in.Candidates[d.Target].Instance
+	}
+	s.srv.decisions.Add(routing.Entry{
+		Database: s.st.database,
+		Instance: instance,
+		Account:  s.login.Load().account,
+		Session:  s.pid,
+		Class:    a.plan.class.String(),
+		Reason:   d.Reason,
+	})
+	return d
+}
+
+func (s *session) fillCandidates(a *attempt) {
+	s.input.Candidates = s.input.Candidates[:0]
+	snapshot := s.srv.cfg.Feed.Current()
+	group, _ := s.srv.cfg.Topology.Group(s.st.database)
+	now := s.srv.cfg.Now()
+	for _, instance := range snapshot.Databases[s.st.database].Instances {
+		c := routing.Candidate{
+			Instance: instance.Name,
+			Address:  instance.Address,
+			Primary:  instance.Name == group.Primary,
+			Near:     instance.Domain == s.srv.cfg.Domain,
+			Leaving:  snapshot.InstanceLeaving(instance),
+			Weight:   1,
+		}
+		if s.srv.cfg.Weight != nil {
+			c.Weight = s.srv.cfg.Weight(instance.Name)
+		}
+		for _, failed := range a.excluded[:min(a.failures, len(a.excluded))] {
+			c.Failed = c.Failed || failed == instance.Name
+		}
+		s.srv.estimates.Of(instance.Name).Fill(&c, now)
+		s.input.Candidates = append(s.input.Candidates, c)
+	}
+}
+
+func (a *attempt) exclude(instance string) {
+	if a.failures < len(a.excluded) {
+		a.excluded[a.failures] = instance
+	}
+	a.failures++
+}
+
+// try makes one attempt.
+func (s *session) try(a *attempt) verdict {
+	d := s.decide(a)
+	if d.Target == routing.None {
+		return verdictWait
+	}
+	target := &s.input.Candidates[d.Target]
+	c, err := s.acquire(a, target)
+	if err != nil {
+		return s.acquireFailed(a, target, err)
+	}
+	s.setRunning(c, a.write)
+	if d.Fallback {
+		s.srv.metrics.fallbacks.Inc(1)
+		s.srv.fallbacks.add(target.Instance, 1)
+		defer s.srv.fallbacks.add(target.Instance, -1)
+	}
+	if v, ok := s.setParameters(a, c); !ok {
+		return v
+	}
+	s.countRead(a, target)
+	return s.execute(a, c, target, s.guardFor(a, c, d))
+}
+
+func (s *session) countRead(a *attempt, target *routing.Candidate) {
+	switch {
+	case a.write || !a.plan.runs:
+	case target.Primary:
+		s.srv.metrics.readsPrimary.Inc(1)
+	case s.st.maxStaleness >= 0:
+		s.srv.metrics.readsStale.Inc(1)
+	default:
+		s.srv.metrics.readsReplica.Inc(1)
+	}
+}
+
+func (s *session) acquire(a *attempt, target *routing.Candidate) (*pool.Conn, error) {
+	l := s.login.Load()
+	return s.srv.pools.Acquire(pool.Request{
+		Target:  pool.Target{Instance: target.Instance, Address: target.Address, Database: s.st.database},
+		Account: l.account,
+		Weight:  s.srv.cfg.Feed.Current().Accounts[l.account].Weight,
+		Wait:    max(a.deadline.Sub(s.srv.cfg.Now()), 0),
+		Cancel:  s.ending,
+	})
+}
+
+// acquireFailed handles a request that got no connection; it was not sent.
+func (s *session) acquireFailed(a *attempt, target *routing.Candidate, err error) verdict {
+	if s.ended(endedNotRun) {
+		return verdictClose
+	}
+	if errors.Is(err, pool.ErrUnreachable) {
+		s.srv.estimates.Of(target.Instance).Fail()
+		if target.Primary {
+			return verdictWait
+		}
+		a.exclude(target.Instance)
+		return verdictAgain
+	}
+	s.count(a.plan, endedNotRun)
+	return s.finished(s.refuse(&sqlError{"53300", "not run: " + strings.TrimSuffix(err.Error(), ": "+outcome.ErrNotRun.Error())}, a.plan.synced))
+}
+
+func (s *session) finished(goesOn bool) verdict {
+	if goesOn {
+		return verdictDone
+	}
+	return verdictClose
+}
+
+// confirmWait bounds the confirmation of a primary. It is short, so that a
+// request leaves a primary that was cut off soon after the promotion.
+const confirmWait = time.Second
+
+// guardFor returns the check that must precede the request on a connection.
+func (s *session) guardFor(a *attempt, c *pool.Conn, d routing.Decision) guard {
+	in := &s.input
+	switch d.Check {
+	case routing.CheckPrimary:
+		return guard{kind: guardConfirm, wait: confirmWait}
+	case routing.CheckPosition:
+		wanted := in.Position
+		if !routing.GuardNeeded(wanted, c.Applied, c.Guarded) {
+			wanted = position.Position{}
+		}
+		age := in.MaxStaleness
+		if a.write {
+			age = -1
+		}
+		if wanted.IsZero() && age < 0 {
+			return guard{}
+		}
+		wait := s.srv.cfg.GuardWait
+		if d.Reason == routing.ReasonFallbackLimit {
+			wait = max(a.deadline.Sub(s.srv.cfg.Now()), wait)
+		}
+		return guard{kind: guardPosition, position: wanted, wait: wait, maxAge: age}
+	default:
+		return guard{}
+	}
+}
+
+// execute sends the request on a connection and reads the answer.
+func (s *session) execute(a *attempt, c *pool.Conn, target *routing.Candidate, g guard) verdict {
+	p := a.plan
+	s.x.begin(s.st, c, p, s.out)
+	s.x.allowRetry = !p.readOnlyBlock
+	estimate := s.srv.estimates.Of(target.Instance)
+	estimate.Begin()
+	began := s.srv.cfg.Now()
+	sent, err := s.sendBatch(c, p, g)
+	if err == nil {
+		err = s.relay(c)
+	}
+	now := s.srv.cfg.Now()
+	estimate.End(now.Sub(began), err != nil, c.Applied, now)
+	switch {
+	case err != nil:
+		return s.failed(a, c, target, sent)
+	case s.x.guardErr != "":
+		return s.guardRefused(a, c, target)
+	case s.x.readOnly:
+		return s.forward(a, c, target)
+	}
+	if g.kind == guardPosition && c.Guarded.Compare(g.position) < 0 {
+		c.Guarded = g.position
+	}
+	return s.finished(s.complete(c, p))
+}
+
+// untouched drops what was not yet written to the caller and reports that the
+// caller received nothing of the answer.
+func (s *session) untouched(a *attempt) bool {
+	if s.out.Written() != a.mark {
+		return false
+	}
+	s.out.Discard()
+	return true
+}
+
+// failed handles a connection that failed during the request.
+func (s *session) failed(a *attempt, c *pool.Conn, target *routing.Candidate, sent bool) verdict {
+	s.giveBack(c, false)
+	s.x.held = s.x.held[:0]
+	outcome := endedNotRun
+	if sent && !a.plan.repeatable() {
+		outcome = endedUnknown
+	}
+	if s.ended(outcome) {
+		return verdictClose
+	}
+	if (outcome == endedNotRun || s.st.idempotent) && s.untouched(a) {
+		if s.srv.cfg.Now().Before(a.deadline) && s.retry() {
+			if target.Primary {
+				return verdictWait
+			}
+			a.exclude(target.Instance)
+			return verdictAgain
+		}
+		if outcome == endedNotRun {
+			s.count(a.plan, endedNotRun)
+			return s.finished(s.refuse(&sqlError{"57P03", "not run: no instance answered in time"}, a.plan.synced))
+		}
+	}
+	s.count(a.plan, endedUnknown)
+	return s.finished(s.answerError(unknownOutcome("the connection to the backend server failed"), a.plan.synced))
+}
+
+// retry takes one repetition from the retry budget.
+func (s *session) retry() bool {
+	if !s.srv.retries.take(s.srv.cfg.Now()) {
+		return false
+	}
+	s.srv.metrics.retries.Inc(1)
+	return true
+}
+
+// release returns the connection of an attempt whose answer was dropped.
+func (s *session) release(c *pool.Conn) {
+	clean := s.x.status == 'I'
+	if s.x.status == 'T' || s.x.status == 'E' {
+		clean = s.rollback(c)
+	}
+	s.giveBack(c, clean)
+}
+
+// guardRefused handles a check that failed; the request behind it ran on data
+// that the session must not see, so its answer was dropped.
+func (s *session) guardRefused(a *attempt, c *pool.Conn, target *routing.Candidate) verdict {
+	ran := a.plan.runs && (a.plan.class == ClassWrite && !s.x.failed || !s.x.commit.IsZero())
+	s.release(c)
+	switch {
+	case ran && !s.st.idempotent:
+		s.count(a.plan, endedUnknown)
+		return s.finished(s.answerError(unknownOutcome("the write reached an instance that is no longer the primary"), a.plan.synced))
+	case target.Primary:
+		return verdictWait
+	default:
+		a.exclude(target.Instance)
+		a.fallback = true
+		if s.srv.cfg.Now().After(a.deadline) {
+			return verdictWait
+		}
+		return verdictAgain
+	}
+}
+
+// forward handles a write that an instance refused before any effect.
+func (s *session) forward(a *attempt, c *pool.Conn, target *routing.Candidate) verdict {
+	s.release(c)
+	if target.Primary {
+		return verdictWait
+	}
+	s.srv.metrics.forwarded.Inc(1)
+	a.write = true
+	if !s.retry() {
+		s.count(a.plan, endedNotRun)
+		return s.finished(s.refuse(&sqlError{"25006", "not run: a replica cannot run this statement and the retry budget is spent"}, a.plan.synced))
+	}
+	return verdictAgain
+}
+
+// setParameters brings the tracked parameters of a connection in line with the
+// session, before the request is sent.
+func (s *session) setParameters(a *attempt, c *pool.Conn) (verdict, bool) {
+	if sameParameters(c.Parameters, s.st.parameters) {
+		return 0, true
+	}
+	s.ownPlan = plan{}
+	s.x.begin(s.st, c, &s.ownPlan, s.out)
+	b := c.Out.Buffer()
+	for name, value := range s.st.parameters {
+		if old, ok := c.Parameters[name]; !ok || old != value {
+			b = wire.AppendQuery(b, "SET "+name+" TO "+quoteValue(name, value))
+			s.x.expect(item{kind: itemSet, hidden: true})
+		}
+	}
+	for name := range c.Parameters {
+		if _, ok := s.st.parameters[name]; !ok {
+			b = wire.AppendQuery(b, "SET "+name+" TO DEFAULT")
+			s.x.expect(item{kind: itemSet, hidden: true})
+		}
+	}
+	c.Out.SetBuffer(b)
+	err := c.Out.Flush()
+	if err == nil {
+		err = s.relay(c)
+	}
+	if err != nil {
+		return s.failed(a, c, &routing.Candidate{Instance: c.Instance}, false), false
+	}
+	if s.x.setErr != nil {
+		refused := s.x.setErr
+		s.giveBack(c, false)
+		s.count(a.plan, endedNotRun)
+		return s.finished(s.refuse(refused, a.plan.synced)), false
+	}
+	clear(c.Parameters)
+	for name, value := range s.st.parameters {
+		c.Parameters[name] = value
+	}
+	return 0, true
+}
+
+// quoteValue writes a parameter's value as SQL. A search path is a list, whose
+// elements are quoted one by one.
+func quoteValue(name, value string) string {
+	if name != "search_path" {
+		return quoteLiteral(value)
+	}
+	parts := strings.Split(value, ",")
+	for i, part := range parts {
+		part = strings.TrimSpace(part)
+		if len(part) >= 2 && part[0] == '"' && part[len(part)-1] == '"' {
+			part = strings.ReplaceAll(part[1:len(part)-1], `""`, `"`)
+		}
+		parts[i] = quoteLiteral(part)
+	}
+	return strings.Join(parts, ", ")
+}
+
+// quoteLiteral writes a constant that means the same whatever
+// standard_conforming_strings is.
+func quoteLiteral(value string) string {
+	quoted := strings.ReplaceAll(value, "'", "''")
+	if strings.Contains(quoted, `\`) {
+		return "E'" + strings.ReplaceAll(quoted, `\`, `\\`) + "'"
+	}
+	return "'" + quoted + "'"
+}
--- /dev/null
+++ b/internal/frontend/server.go
@@ -0,0 +1,299 @@
+package frontend
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/pool"
+	"github.com/bramleylever/bramleylever/internal/records"
+	"github.com/bramleylever/bramleylever/internal/routing"
+	"github.com/bramleylever/bramleylever/internal/wire"
+)
+
+// Server serves callers on any number of listeners.
+type Server struct {
+	cfg       Config
+	pools     *pool.Set
+	policy    routing.Policy
+	estimates *routing.Estimates
+	decisions *routing.DecisionLog
+	retries   *retryBudget
+	hold      *holdQueue
+	fallbacks *fallbackLimit
+	metrics   *serverMetrics
+	mockSalt  []byte
+
+	mu        sync.Mutex
+	listeners map[net.Listener]struct{}
+	sessions  map[uint32]*session
+	nextPID   uint32
+	draining  atomic.Bool
+	closed    bool
+	stop      chan struct{}
+	workers   sync.WaitGroup
+	cancel    func()
+	leaving   map[string]bool
+}
+
+// ErrServerClosed is returned by Serve after Drain or Close.
+var ErrServerClosed = errors.New("server is closed")
+
+// New returns a server that is ready to serve. An unknown name of a replica
+// selection policy is logged and replaced by the default; check names with
+// routing.NewPolicy.
+func New(cfg Config) *Server {
+	cfg.setDefaults()
+	policy, err := routing.NewPolicy(cfg.Selection, cfg.Seed)
+	if err != nil {
+		cfg.Logger.Error("use the default replica selection", zap.Error(err))
+		policy, _ = routing.NewPolicy("", cfg.Seed)
+	}
+	s := &Server{
+		cfg:       cfg,
+		pools:     pool.NewSet(cfg.Pool),
+		policy:    policy,
+		estimates: routing.NewEstimates(),
+		decisions: routing.NewDecisionLog(cfg.Logger, cfg.LogEvery),
+		retries:   newRetryBudget(),
+		hold:      newHoldQueue(cfg.QueueRequests, cfg.QueueBytes),
+		fallbacks: newFallbackLimit(),
+		metrics:   newServerMetrics(cfg.Registry),
+		mockSalt:  make([]byte, 16),
+		listeners: map[net.Listener]struct{}{},
+		sessions:  map[uint32]*session{},
+		stop:      make(chan struct{}),
+		leaving:   map[string]bool{},
+	}
+	_, _ = rand.Read(s.mockSalt)
+	s.cancel = cfg.Feed.Subscribe(s.applySnapshot)
+	s.workers.Add(2)
+	go s.maintain()
+	go s.watchTopology()
+	return s
+}
+
+// Pools returns the backend connections, for status pages and warming.
+func (s *Server) Pools() *pool.Set { return s.pools }
+
+// Serve accepts callers until the listener fails or the server is drained or
+// closed, and then returns ErrServerClosed.
+func (s *Server) Serve(l net.Listener) error {
+	if !s.addListener(l) {
+		_ = l.Close()
+		return ErrServerClosed
+	}
+	defer s.removeListener(l)
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if s.draining.Load() {
+				return ErrServerClosed
+			}
+			var temporary net.Error
+			if errors.As(err, &temporary) && temporary.Timeout() {
+				continue
+			}
+			return err
+		}
+		s.start(conn)
+	}
+}
+
+func (s *Server) addListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining.Load() {
+		return false
+	}
+	s.listeners[l] = struct{}{}
+	return true
+}
+
+func (s *Server) removeListener(l net.Listener) {
+	s.mu.Lock()
+	delete(s.listeners, l)
+	s.mu.Unlock()
+	_ = l.Close()
+}
+
+// start runs a connection unless the server is full or closed.
+func (s *Server) start(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining.Load() || len(s.sessions) >= s.cfg.MaxConnections {
+		s.metrics.refusedConnections.Inc(1)
+		go refuseConnection(conn)
+		return
+	}
+	s.nextPID++
+	ses := &session{
+		srv:    s,
+		net:    conn,
+		in:     wire.NewReader(conn, s.cfg.MaxMessageBytes),
+		out:    wire.NewWriter(&timedWriter{conn, s.cfg.AnswerTimeout}),
+		pid:    s.nextPID,
+		ending: make(chan struct{}),
+	}
+	var secret [4]byte
+	_, _ = rand.Read(secret[:])
+	ses.secret = binary.BigEndian.Uint32(secret[:])
+	s.sessions[ses.pid] = ses
+	s.workers.Add(1)
+	go ses.run()
+}
+
+// refuseConnection answers a caller above the connection limit.
+func refuseConnection(conn net.Conn) {
+	_ = conn.SetDeadline(time.Now().Add(time.Second))
+	_, _ = conn.Write(wire.AppendError(nil, "FATAL", "53300", "not run: too many connections to this proxy"))
+	_ = conn.Close()
+}
+
+func (s *Server) remove(ses *session) {
+	s.mu.Lock()
+	delete(s.sessions, ses.pid)
+	s.mu.Unlock()
+	s.workers.Done()
+}
+
+func (s *Server) allSessions() []*session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*session, 0, len(s.sessions))
+	for _, ses := range s.sessions {
+		all = append(all, ses)
+	}
+	return all
+}
+
+// Sessions returns the number of connected callers.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+// Drain stops accepting callers and closes each session at a transaction
+// boundary once it is idle. It returns when all sessions have ended, or with
+// the error of ctx after closing the sessions that were left.
+func (s *Server) Drain(ctx context.Context) error {
+	s.stopListening()
+	for _, ses := range s.allSessions() {
+		ses.wake()
+	}
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for s.Sessions() > 0 {
+		select {
+		case <-ctx.Done():
+			left := s.Sessions()
+			s.cfg.Logger.Warn("drain ended with open sessions", zap.Int("sessions", left))
+			s.Close()
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	s.Close()
+	return nil
+}
+
+func (s *Server) stopListening() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining.Store(true)
+	for l := range s.listeners {
+		_ = l.Close()
+	}
+}
+
+// Close ends all sessions at once; open transactions are rolled back.
+func (s *Server) Close() {
+	s.stopListening()
+	s.mu.Lock()
+	first := !s.closed
+	s.closed = true
+	s.mu.Unlock()
+	if first {
+		close(s.stop)
+		s.cancel()
+	}
+	for _, ses := range s.allSessions() {
+		ses.end(endClosed)
+	}
+	s.workers.Wait()
+	s.pools.Close()
+}
+
+// maintenanceInterval is how often the budget is applied and reported.
+const maintenanceInterval = 100 * time.Millisecond
+
+func (s *Server) maintain() {
+	defer s.workers.Done()
+	ticker := time.NewTicker(maintenanceInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-ticker.C:
+			s.pools.Tick()
+		}
+	}
+}
+
+// applySnapshot ends the sessions of withdrawn keys and retires connections to
+// instances that leave. It is called in the order of the revisions.
+func (s *Server) applySnapshot(snapshot *records.Snapshot) {
+	for _, ses := range s.allSessions() {
+		if login := ses.login.Load(); login != nil && !login.valid(snapshot) {
+			ses.end(endWithdrawn)
+		}
+	}
+	for _, database := range snapshot.Databases {
+		for _, instance := range database.Instances {
+			leaving := snapshot.InstanceLeaving(instance)
+			if leaving && !s.leaving[instance.Name] {
+				s.pools.Retire(instance.Name)
+			}
+			s.leaving[instance.Name] = leaving
+		}
+	}
+}
+
+// watchTopology retires the connections of demoted instances and ends requests
+// that such an instance does not answer.
+func (s *Server) watchTopology() {
+	defer s.workers.Done()
+	primaries := map[string]string{}
+	for {
+		changed := s.cfg.Topology.Changed()
+		for _, g := range s.cfg.Topology.All() {
+			old := primaries[g.Database]
+			primaries[g.Database] = g.Primary
+			if old == "" || old == g.Primary {
+				continue
+			}
+			s.pools.Retire(old)
+			time.AfterFunc(s.cfg.DemotedGrace, func() { s.interruptWrites(old) })
+		}
+		select {
+		case <-changed:
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+func (s *Server) interruptWrites(instance string) {
+	for _, ses := range s.allSessions() {
+		ses.interruptOn(instance)
+	}
+}
--- /dev/null
+++ b/internal/frontend/startup.go
@@ -0,0 +1,296 @@
+package frontend
+
+import (
+	"crypto/tls"
+	"encoding/binary"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/bramleylever/bramleylever/internal/wire"
+)
+
+// Codes of packets without a type.
+const (
+	cancelRequestCode = 80877102
+	sslRequestCode    = 80877103
+	gssRequestCode    = 80877104
+	protocolMajor     = 3
+	// maxEncryptionRequests bounds the requests before the start-up message;
+	// clients ask for GSS encryption and TLS at most once each.
+	maxEncryptionRequests = 2
+)
+
+// startupParameters are what the start-up message holds.
+type startupParameters struct {
+	user     string
+	database string
+	settings []setting
+}
+
+// startup runs the start of the connection. It returns false if the connection
+// is to be closed.
+func (s *session) startup() bool {
+	_ = s.net.SetDeadline(time.Now().Add(s.srv.cfg.LoginTimeout))
+	body, ok := s.startupPacket()
+	if !ok {
+		return false
+	}
+	p, refused := parseStartup(body)
+	if refused != nil {
+		s.fatal(refused)
+		return false
+	}
+	if !s.negotiate(body) {
+		return false
+	}
+	l, refused := s.authenticate(p.user, p.database)
+	if refused != nil {
+		s.fatal(refused)
+		return false
+	}
+	route := s.srv.cfg.Feed.Current().Routes[l.route]
+	s.st = newState(l.database, route.MaxStaleness, s.srv.cfg.MaxMessageBytes)
+	if refused := s.st.applyStartup(p.settings); refused != nil {
+		s.fatal(refused)
+		return false
+	}
+	s.login.Store(l)
+	return s.welcome(p.user)
+}
+
+// startupPacket answers encryption and cancel requests and returns the body of
+// the start-up message.
+func (s *session) startupPacket() ([]byte, bool) {
+	for range maxEncryptionRequests + 1 {
+		body, err := s.in.NextStartup()
+		if err != nil {
+			s.fatal(readFailure(err))
+			return nil, false
+		}
+		switch code := binary.BigEndian.Uint32(body); {
+		case code == sslRequestCode:
+			if !s.startTLS() {
+				return nil, false
+			}
+		case code == gssRequestCode:
+			if _, err := s.net.Write([]byte{'N'}); err != nil {
+				return nil, false
+			}
+		case code == cancelRequestCode:
+			s.cancelRequest(body)
+			return nil, false
+		case code>>16 == protocolMajor:
+			return body, true
+		default:
+			s.fatal(&sqlError{"0A000", "unsupported frontend protocol version"})
+			return nil, false
+		}
+	}
+	s.fatal(violation("too many encryption requests"))
+	return nil, false
+}
+
+// startTLS answers SSLRequest. Bytes that were sent before the answer would be
+// taken for encrypted ones, so they end the connection.
+func (s *session) startTLS() bool {
+	if s.in.Buffered() > 0 {
+		s.fatal(violation("data after SSLRequest"))
+		return false
+	}
+	if s.srv.cfg.TLS == nil || s.encrypted {
+		_, err := s.net.Write([]byte{'N'})
+		return err == nil
+	}
+	if _, err := s.net.Write([]byte{'S'}); err != nil {
+		return false
+	}
+	secured := tls.Server(s.net, s.srv.cfg.TLS)
+	if err := secured.Handshake(); err != nil {
+		return false
+	}
+	s.mu.Lock()
+	s.net = secured
+	s.mu.Unlock()
+	s.encrypted = true
+	s.in.Reset(secured)
+	s.out.Reset(&timedWriter{secured, s.srv.cfg.AnswerTimeout})
+	return true
+}
+
+// negotiate tells a client with a newer minor version to use version 3.0.
+func (s *session) negotiate(body []byte) bool {
+	if binary.BigEndian.Uint32(body)&0xffff == 0 {
+		return true
+	}
+	b, at := wire.Begin(nil, 'v')
+	b = binary.BigEndian.AppendUint32(b, protocolMajor<<16)
+	b = binary.BigEndian.AppendUint32(b, 0)
+	return s.out.Add(wire.End(b, at)) == nil
+}
+
+// parseStartup reads the start-up message after its length.
+func parseStartup(body []byte) (startupParameters, *sqlError) {
+	var p startupParameters
+	rest := body[4:]
+	for len(rest) > 0 && rest[0] != 0 {
+		name, after, ok := wire.CString(rest)
+		if !ok {
+			return p, violation("start-up message with an unterminated name")
+		}
+		value, next, ok := wire.CString(after)
+		if !ok {
+			return p, violation("start-up parameter %q without a value", name)
+		}
+		rest = next
+		if refused := p.set(string(name), string(value)); refused != nil {
+			return p, refused
+		}
+	}
+	if len(rest) != 1 {
+		return p, violation("start-up message is not terminated")
+	}
+	if p.user == "" {
+		return p, &sqlError{"28000", "no key id given: the user name must be a key id"}
+	}
+	if p.database == "" {
+		p.database = p.user
+	}
+	return p, nil
+}
+
+func (p *startupParameters) set(name, value string) *sqlError {
+	switch {
+	case name == "user":
+		p.user = value
+	case name == "database":
+		p.database = value
+	case name == "options":
+		return p.options(value)
+	case name == "replication":
+		if value != "false" && value != "0" && value != "off" && value != "no" {
+			return &sqlError{"0A000", "replication connections are not supported"}
+		}
+	case strings.HasPrefix(name, "_pq_."):
+		// Protocol extensions are optional and none is supported.
+	default:
+		p.settings = append(p.settings, setting{name: strings.ToLower(name), value: value})
+	}
+	return nil
+}
+
+// options reads command-line options: -c name=value and --name=value, with
+// backslashes before spaces that belong to a value.
+func (p *startupParameters) options(text string) *sqlError {
+	words := splitOptions(text)
+	for i := 0; i < len(words); i++ {
+		word := words[i]
+		var assignment string
+		switch {
+		case word == "-c" && i+1 < len(words):
+			i++
+			assignment = words[i]
+		case strings.HasPrefix(word, "--"):
+			assignment = word[2:]
+		case strings.HasPrefix(word, "-c") && len(word) > 2:
+			assignment = word[2:]
+		default:
+			return &sqlError{"0A000", "start-up option \"" + word + "\" is not supported"}
+		}
+		name, value, ok := strings.Cut(assignment, "=")
+		if !ok {
+			return violation("start-up option %q is not name=value", assignment)
+		}
+		name = strings.ReplaceAll(strings.ToLower(name), "-", "_")
+		p.settings = append(p.settings, setting{name: name, value: value})
+	}
+	return nil
+}
+
+func splitOptions(text string) []string {
+	var words []string
+	var word strings.Builder
+	escaped, inWord := false, false
+	for _, c := range []byte(text) {
+		switch {
+		case escaped:
+			word.WriteByte(c)
+			escaped = false
+		case c == '\\':
+			escaped, inWord = true, true
+		case c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f' || c == '\v':
+			if inWord {
+				words = append(words, word.String())
+				word.Reset()
+			}
+			inWord = false
+		default:
+			word.WriteByte(c)
+			inWord = true
+		}
+	}
+	if inWord {
+		words = append(words, word.String())
+	}
+	return words
+}
+
+// applyStartup sets the parameters of the start-up message.
+func (s *state) applyStartup(settings []setting) *sqlError {
+	for _, v := range settings {
+		if strings.HasPrefix(v.name, ownPrefix) {
+			if refused := s.applySetting(v.name, v.value, false); refused != nil {
+				return refused
+			}
+			continue
+		}
+		if _, ok := trackedParameters[v.name]; !ok {
+			return &sqlError{"0A000", "start-up parameter \"" + v.name + "\" is not supported with transaction pooling"}
+		}
+		s.setParameter(v)
+	}
+	return nil
+}
+
+// welcome completes the start of the connection.
+func (s *session) welcome(user string) bool {
+	b := append(s.out.Buffer(), 'R', 0, 0, 0, 8, 0, 0, 0, 0)
+	for _, v := range s.reportedParameters(user) {
+		b = wire.AppendParameter(b, v.name, v.value)
+	}
+	key := pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.secret}
+	b, err := key.Encode(b)
+	if err != nil {
+		return false
+	}
+	s.out.SetBuffer(wire.AppendReady(b, 'I'))
+	if s.out.Flush() != nil {
+		return false
+	}
+	return s.net.SetDeadline(time.Time{}) == nil
+}
+
+// reportedParameters are the values that clients expect at the start. They are
+// PostgreSQL's defaults unless the session chose others.
+func (s *session) reportedParameters(user string) []setting {
+	reported := []setting{
+		{name: "server_version", value: s.srv.cfg.ServerVersion},
+		{name: "server_encoding", value: "UTF8"},
+		{name: "client_encoding", value: "UTF8"},
+		{name: "application_name"},
+		{name: "DateStyle", value: "ISO, MDY"},
+		{name: "TimeZone", value: "UTC"},
+		{name: "IntervalStyle", value: "postgres"},
+		{name: "integer_datetimes", value: "on"},
+		{name: "standard_conforming_strings", value: "on"},
+		{name: "is_superuser", value: "off"},
+		{name: "session_authorization", value: user},
+	}
+	for i := range reported {
+		if v, ok := s.st.parameters[strings.ToLower(reported[i].name)]; ok {
+			reported[i].value = v
+		}
+	}
+	return reported
+}
--- /dev/null
+++ b/internal/pool/conn.go
@@ -0,0 +1,334 @@
+package pool
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/xdg-go/scram"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/bramleylever/bramleylever/internal/backend"
+	"github.com/bramleylever/bramleylever/internal/wire"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// maxAnswerBytes is the largest message that PostgreSQL servers send.
+const maxAnswerBytes = 1 << 30
+
+// Credentials are the proxy's own; a caller's key never reaches a backend
+// server.
+type Credentials struct {
+	User     string
+	Password string
+}
+
+// Conn is one connection to an instance. Between Acquire and Release it
+// belongs to one session.
+type Conn struct {
+	Instance string
+	Address  string
+	In       *wire.Reader
+	Out      *wire.Writer
+	// PID and Secret identify the connection in a cancel request.
+	PID    uint32
+	Secret uint32
+	// Parameters holds the tracked parameters that were set on the connection
+	// to other values than its defaults.
+	Parameters map[string]string
+	// Statements are the prepared statements that exist on the connection.
+	Statements *Statements
+	// Unnamed is the hash of the unnamed prepared statement, zero without one.
+	Unnamed Hash
+	// Applied is the position that the instance last reported here. A data
+	// connection never survives a rewind, so it stays a lower bound.
+	Applied position.Position
+	// Guarded is the highest position that a guard found in the history.
+	Guarded position.Position
+
+	pool       *instancePool
+	net        net.Conn
+	raw        syscall.RawConn
+	peek       func(fd uintptr) bool
+	dead       bool
+	generation uint64
+	returned   time.Time
+	poisoned   atomic.Bool
+}
+
+// SetDeadline bounds reads and writes; the zero time removes the bound.
+func (c *Conn) SetDeadline(t time.Time) { _ = c.net.SetDeadline(t) }
+
+// Interrupt makes pending and later reads and writes fail. It is safe for
+// concurrent use; the connection is not reused.
+func (c *Conn) Interrupt() {
+	c.poisoned.Store(true)
+	_ = c.net.SetDeadline(time.Unix(1, 0))
+}
+
+// Poison keeps the connection from being reused. It is safe for concurrent
+// use.
+func (c *Conn) Poison() { c.poisoned.Store(true) }
+
+// Retired reports whether the instance was retired since the connection was
+// opened.
+func (c *Conn) Retired() bool { return c.generation != c.pool.generation.Load() }
+
+// Write writes around the buffer of Out.
+func (c *Conn) Write(b []byte) (int, error) { return c.net.Write(b) }
+
+// Close closes the connection; an open transaction is rolled back by the
+// instance.
+func (c *Conn) Close() { _ = c.net.Close() }
+
+// alive reports whether the peer has neither closed the connection nor sent
+// anything while it was idle. Without this check, a write on a connection that
+// the instance closed would end with an unknown outcome.
+func (c *Conn) alive() bool {
+	if c.poisoned.Load() || c.In.Buffered() > 0 {
+		return false
+	}
+	if c.raw == nil {
+		return true
+	}
+	c.dead = false
+	if err := c.raw.Read(c.peek); err != nil {
+		return false
+	}
+	return !c.dead
+}
+
+func (c *Conn) initLiveness() {
+	sc, ok := c.net.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	c.raw = raw
+	var one [1]byte
+	c.peek = func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		c.dead = !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		return true
+	}
+}
+
+// ServerError is an ErrorResponse of an instance.
+type ServerError struct {
+	Code    string
+	Message string
+}
+
+// Error returns the message with its SQLSTATE.
+func (e *ServerError) Error() string { return e.Message + " (SQLSTATE " + e.Code + ")" }
+
+// dialTarget says where and as whom a connection is opened.
+type dialTarget struct {
+	instance    string
+	address     string
+	database    string
+	credentials Credentials
+	timeout     time.Duration
+}
+
+// dial opens a connection and authenticates the proxy.
+func dial(t dialTarget) (*Conn, error) {
+	raw, err := net.DialTimeout("tcp", t.address, t.timeout)
+	if err != nil {
+		return nil, err
+	}
+	c := &Conn{
+		Instance:   t.instance,
+		Address:    t.address,
+		In:         wire.NewReader(raw, maxAnswerBytes),
+		Out:        wire.NewWriter(raw),
+		Parameters: map[string]string{},
+		net:        raw,
+	}
+	c.SetDeadline(time.Now().Add(t.timeout))
+	if err := c.handshake(t); err != nil {
+		c.Close()
+		return nil, err
+	}
+	c.SetDeadline(time.Time{})
+	c.In.Release()
+	c.initLiveness()
+	return c, nil
+}
+
+func (c *Conn) send(m pgproto3.FrontendMessage) error {
+	b, err := m.Encode(c.Out.Buffer())
+	if err != nil {
+		return err
+	}
+	c.Out.SetBuffer(b)
+	return c.Out.Flush()
+}
+
+func (c *Conn) handshake(t dialTarget) error {
+	err := c.send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersionNumber,
+		Parameters:      map[string]string{"user": t.credentials.User, "database": t.database},
+	})
+	if err != nil {
+		return fmt.Errorf("send start-up message: %w", err)
+	}
+	for {
+		kind, frame, err := c.In.Next()
+		if err != nil {
+			return fmt.Errorf("read start-up answer: %w", err)
+		}
+		body := frame[wire.HeaderBytes:]
+		switch kind {
+		case 'R':
+			err = c.authenticate(t.credentials, body)
+		case 'S':
+			err = c.Observe(body)
+		case 'K':
+			err = c.backendKey(body)
+		case 'E':
+			err = serverError(body)
+		case 'Z':
+			return nil
+		case 'N':
+		default:
+			err = fmt.Errorf("%w: message type %q during start-up", wire.ErrMalformed, kind)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conn) backendKey(body []byte) error {
+	if len(body) < 8 {
+		return fmt.Errorf("%w: BackendKeyData of %d bytes", wire.ErrMalformed, len(body))
+	}
+	c.PID = binary.BigEndian.Uint32(body)
+	c.Secret = binary.BigEndian.Uint32(body[4:])
+	return nil
+}
+
+// Observe records the position in a ParameterStatus body.
+func (c *Conn) Observe(body []byte) error {
+	name, rest, ok := wire.CString(body)
+	if !ok || string(name) != backend.ParameterAppliedPosition {
+		return nil
+	}
+	value, _, ok := wire.CString(rest)
+	if !ok {
+		return fmt.Errorf("%w: ParameterStatus without a value", wire.ErrMalformed)
+	}
+	p, err := position.Parse(string(value))
+	if err != nil {
+		return fmt.Errorf("%s: %w", backend.ParameterAppliedPosition, err)
+	}
+	if c.Applied.Compare(p) < 0 {
+		c.Applied = p
+	}
+	return nil
+}
+
+func serverError(body []byte) error {
+	return &ServerError{Code: wire.ErrorField(body, 'C'), Message: wire.ErrorField(body, 'M')}
+}
+
+// authenticate answers the authentication request that the instance chose.
+func (c *Conn) authenticate(cred Credentials, body []byte) error {
+	if len(body) < 4 {
+		return fmt.Errorf("%w: authentication request of %d bytes", wire.ErrMalformed, len(body))
+	}
+	switch kind := binary.BigEndian.Uint32(body); kind {
+	case pgproto3.AuthTypeOk:
+		return nil
+	case pgproto3.AuthTypeCleartextPassword:
+		return c.send(&pgproto3.PasswordMessage{Password: cred.Password})
+	case pgproto3.AuthTypeSASL:
+		return c.authenticateSCRAM(cred)
+	default:
+		return fmt.Errorf("authentication method %d is not supported", kind)
+	}
+}
+
+func (c *Conn) authenticateSCRAM(cred Credentials) error {
+	client, err := scram.SHA256.NewClient(cred.User, cred.Password, "")
+	if err != nil {
+		return err
+	}
+	conversation := client.NewConversation()
+	first, err := conversation.Step("")
+	if err != nil {
+		return err
+	}
+	initial := &pgproto3.SASLInitialResponse{AuthMechanism: "SCRAM-SHA-256", Data: []byte(first)}
+	if err := c.send(initial); err != nil {
+		return err
+	}
+	challenge, err := c.saslData(pgproto3.AuthTypeSASLContinue)
+	if err != nil {
+		return err
+	}
+	final, err := conversation.Step(challenge)
+	if err != nil {
+		return err
+	}
+	if err := c.send(&pgproto3.SASLResponse{Data: []byte(final)}); err != nil {
+		return err
+	}
+	verifier, err := c.saslData(pgproto3.AuthTypeSASLFinal)
+	if err != nil {
+		return err
+	}
+	_, err = conversation.Step(verifier)
+	return err
+}
+
+func (c *Conn) saslData(expected uint32) (string, error) {
+	kind, frame, err := c.In.Next()
+	if err != nil {
+		return "", fmt.Errorf("read SASL message: %w", err)
+	}
+	body := frame[wire.HeaderBytes:]
+	if kind == 'E' {
+		return "", serverError(body)
+	}
+	if kind != 'R' || len(body) < 4 || binary.BigEndian.Uint32(body) != expected {
+		return "", fmt.Errorf("%w: message type %q during SASL", wire.ErrMalformed, kind)
+	}
+	return string(body[4:]), nil
+}
+
+// Cancel asks the instance to cancel what runs on a connection and waits until
+// the instance has taken the request.
+func (c *Conn) Cancel(timeout time.Duration) error {
+	conn, err := net.DialTimeout("tcp", c.Address, timeout)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(timeout))
+	var b [16]byte
+	binary.BigEndian.PutUint32(b[0:], 16)
+	binary.BigEndian.PutUint32(b[4:], cancelRequestCode)
+	binary.BigEndian.PutUint32(b[8:], c.PID)
+	binary.BigEndian.PutUint32(b[12:], c.Secret)
+	if _, err := conn.Write(b[:]); err != nil {
+		return err
+	}
+	if _, err := conn.Read(b[:1]); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	return nil
+}
+
+// cancelRequestCode is the protocol's code of a CancelRequest.
+const cancelRequestCode = 80877102
--- /dev/null
+++ b/internal/pool/instance.go
@@ -0,0 +1,242 @@
+package pool
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// instancePool holds the connections to one instance.
+type instancePool struct {
+	set    *Set
+	target Target
+	wait   metrics.Timer
+	shed   metrics.Counter
+
+	mu         sync.Mutex
+	idle       []*Conn
+	open       int
+	dialing    int
+	generation atomic.Uint64
+	closed     bool
+	queue      *fairQueue
+	waiters    map[uint64]chan grant
+	nextID     uint64
+}
+
+// grant ends a wait, with a connection or an error.
+type grant struct {
+	conn *Conn
+	err  error
+}
+
+func newInstancePool(s *Set, t Target) *instancePool {
+	return &instancePool{
+		set:     s,
+		target:  t,
+		wait:    metrics.GetOrRegisterTimer("pool.acquire_wait_seconds", s.cfg.Registry),
+		shed:    metrics.GetOrRegisterCounter("pool.shed_requests", s.cfg.Registry),
+		queue:   newFairQueue(s.cfg.MaxWaiting),
+		waiters: map[uint64]chan grant{},
+	}
+}
+
+func (p *instancePool) acquire(r Request) (*Conn, error) {
+	limit := p.set.Limit(p.target.Instance)
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, ErrClosed
+	}
+	if p.queue.length == 0 {
+		if c := p.takeIdle(limit); c != nil {
+			p.mu.Unlock()
+			return c, nil
+		}
+	}
+	id, ch := p.enqueue(r)
+	p.dialIfNeeded(limit)
+	p.mu.Unlock()
+	return p.await(r, id, ch)
+}
+
+// takeIdle returns the connection that was used last and is still usable.
+func (p *instancePool) takeIdle(limit int) *Conn {
+	for len(p.idle) > 0 && p.open <= limit {
+		last := len(p.idle) - 1
+		c := p.idle[last]
+		p.idle = p.idle[:last]
+		if c.alive() {
+			return c
+		}
+		p.drop(c)
+	}
+	return nil
+}
+
+func (p *instancePool) drop(c *Conn) {
+	p.open--
+	c.Close()
+}
+
+func (p *instancePool) enqueue(r Request) (uint64, chan grant) {
+	p.nextID++
+	id := p.nextID
+	ch := make(chan grant, 1)
+	p.waiters[id] = ch
+	if shed, full := p.queue.add(r.Account, r.Weight, id); full {
+		p.shed.Inc(1)
+		p.finish(shed, grant{err: ErrShed})
+	}
+	return id, ch
+}
+
+func (p *instancePool) finish(id uint64, g grant) {
+	p.waiters[id] <- g
+	delete(p.waiters, id)
+}
+
+// dialIfNeeded opens one connection per waiting request, within the limit.
+func (p *instancePool) dialIfNeeded(limit int) {
+	for p.dialing < p.queue.length && p.open+p.dialing < limit {
+		p.startDial()
+	}
+}
+
+func (p *instancePool) startDial() {
+	p.dialing++
+	go p.dial(p.generation.Load())
+}
+
+func (p *instancePool) dial(generation uint64) {
+	c, err := dial(dialTarget{
+		instance:    p.target.Instance,
+		address:     p.target.Address,
+		database:    p.target.Database,
+		credentials: p.set.cfg.Credentials,
+		timeout:     p.set.cfg.DialTimeout,
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing--
+	if err != nil {
+		p.dialFailed(err)
+		return
+	}
+	c.pool = p
+	c.generation = generation
+	c.Statements = NewStatements(p.set.cfg.MaxStatements)
+	p.open++
+	p.offer(c)
+}
+
+// dialFailed ends the waits, so that the requests can go elsewhere, unless
+// open connections will serve them or the instance is only at its limit.
+func (p *instancePool) dialFailed(err error) {
+	if p.open > 0 || tooManyConnections(err) {
+		return
+	}
+	for id, ok := p.queue.next(); ok; id, ok = p.queue.next() {
+		p.finish(id, grant{err: fmt.Errorf("connect: peer %s: %w: %w", p.target.Instance, ErrUnreachable, err)})
+	}
+}
+
+// offer gives a clean connection to the next waiting request or keeps it idle.
+func (p *instancePool) offer(c *Conn) {
+	if p.closed || c.Retired() || c.poisoned.Load() ||
+		p.open > p.set.Limit(p.target.Instance) {
+		p.drop(c)
+		p.dialIfNeeded(p.set.Limit(p.target.Instance))
+		return
+	}
+	if id, ok := p.queue.next(); ok {
+		p.finish(id, grant{conn: c})
+		return
+	}
+	c.returned = p.set.cfg.Now()
+	p.idle = append(p.idle, c)
+}
+
+func (p *instancePool) release(c *Conn, clean bool) {
+	c.In.Release()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !clean {
+		c.Poison()
+	}
+	p.offer(c)
+}
+
+func (p *instancePool) await(r Request, id uint64, ch chan grant) (*Conn, error) {
+	began := p.set.cfg.Now()
+	timer := time.NewTimer(r.Wait)
+	defer timer.Stop()
+	defer func() { p.wait.Update(p.set.cfg.Now().Sub(began)) }()
+	err := ErrTimeout
+	select {
+	case g := <-ch:
+		return g.conn, g.err
+	case <-timer.C:
+	case <-r.Cancel:
+		err = ErrClosed
+	}
+	p.mu.Lock()
+	if p.queue.remove(r.Account, id) {
+		delete(p.waiters, id)
+	}
+	p.mu.Unlock()
+	select {
+	case g := <-ch:
+		return g.conn, g.err
+	default:
+		return nil, fmt.Errorf("acquire: peer %s: %w", p.target.Instance, err)
+	}
+}
+
+func (p *instancePool) retire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.generation.Add(1)
+	p.dropIdle(0)
+	p.dialIfNeeded(p.set.Limit(p.target.Instance))
+}
+
+// dropIdle closes idle connections, the ones unused for longest first, until
+// keep are open.
+func (p *instancePool) dropIdle(keep int) {
+	for len(p.idle) > 0 && p.open > keep {
+		c := p.idle[0]
+		p.idle = p.idle[1:]
+		p.drop(c)
+	}
+}
+
+func (p *instancePool) tick() {
+	limit := p.set.Limit(p.target.Instance)
+	p.mu.Lock()
+	if !p.closed {
+		p.dropIdle(limit)
+		p.dialIfNeeded(limit)
+		for p.open+p.dialing < min(limit, p.set.cfg.Warm) {
+			p.startDial()
+		}
+	}
+	open, waiting := p.open, p.queue.length
+	p.mu.Unlock()
+	if p.set.cfg.Budget != nil {
+		p.set.cfg.Budget.Report(p.target.Instance, open, waiting)
+	}
+}
+
+func (p *instancePool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.dropIdle(0)
+	for id, ok := p.queue.next(); ok; id, ok = p.queue.next() {
+		p.finish(id, grant{err: ErrClosed})
+	}
+}
--- /dev/null
+++ b/internal/routing/estimates.go
@@ -0,0 +1,98 @@
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// smoothing is the part of a new sample in the moving averages; with it, about
+// the last ten requests count.
+const smoothing = 0.1
+
+// Estimates holds the observed load and state of the instances.
+type Estimates struct {
+	mu        sync.RWMutex
+	instances map[string]*Estimate
+}
+
+// NewEstimates returns estimates without observations.
+func NewEstimates() *Estimates { return &Estimates{instances: map[string]*Estimate{}} }
+
+// Of returns the estimate of an instance.
+func (e *Estimates) Of(instance string) *Estimate {
+	e.mu.RLock()
+	found := e.instances[instance]
+	e.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if found := e.instances[instance]; found != nil {
+		return found
+	}
+	found = &Estimate{}
+	e.instances[instance] = found
+	return found
+}
+
+// Estimate is the observed load and state of one instance.
+type Estimate struct {
+	mu          sync.Mutex
+	outstanding int
+	latency     float64
+	errorRate   float64
+	applied     position.Position
+	observed    time.Time
+}
+
+// Begin counts a request that is being sent.
+func (e *Estimate) Begin() {
+	e.mu.Lock()
+	e.outstanding++
+	e.mu.Unlock()
+}
+
+// End counts the end of a request and notes the position that its connection
+// reported.
+func (e *Estimate) End(latency time.Duration, failed bool, applied position.Position, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.outstanding--
+	sample := 0.0
+	if failed {
+		sample = 1
+	} else {
+		e.latency += smoothing * (float64(latency) - e.latency)
+		e.observed = now
+		// The position may go back after a rewind, so it is replaced.
+		e.applied = applied
+	}
+	e.errorRate += smoothing * (sample - e.errorRate)
+}
+
+// Observe counts a request that ran in a transaction.
+func (e *Estimate) Observe(latency time.Duration, failed bool, applied position.Position, now time.Time) {
+	e.Begin()
+	e.End(latency, failed, applied, now)
+}
+
+// Fail counts a request that could not be sent.
+func (e *Estimate) Fail() {
+	e.mu.Lock()
+	e.errorRate += smoothing * (1 - e.errorRate)
+	e.mu.Unlock()
+}
+
+// Fill copies the estimate into a candidate.
+func (e *Estimate) Fill(c *Candidate, now time.Time) {
+	e.mu.Lock()
+	c.Outstanding = e.outstanding
+	c.Latency = time.Duration(e.latency)
+	c.ErrorRate = e.errorRate
+	c.Applied = e.applied
+	c.ObservedAge = now.Sub(e.observed)
+	e.mu.Unlock()
+}
--- /dev/null
+++ b/internal/wire/reader.go
@@ -0,0 +1,181 @@
+// Package wire frames messages of the PostgreSQL protocol without decoding
+// them, so that answers pass through the proxy with one copy.
+//
+// Invariant: a connection without unread bytes holds no pooled buffer.
+package wire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+)
+
+const (
+	// HeaderBytes is the length of a message's type and length fields.
+	HeaderBytes = 5
+	// inlineBytes holds most requests, so that an idle connection needs no
+	// further buffer and a short request needs one read.
+	inlineBytes = 512
+	// pooledBytes is the size of the buffers that busy connections share.
+	pooledBytes = 16 << 10
+	// maxStartupBytes is the limit of PostgreSQL servers for start-up packets.
+	maxStartupBytes = 10000
+)
+
+var (
+	// ErrTooLarge reports a message above the reader's limit.
+	ErrTooLarge = errors.New("message exceeds the size limit")
+	// ErrMalformed reports a message that breaks the protocol's framing.
+	ErrMalformed = errors.New("malformed message")
+	// ErrTruncated reports a connection that ended within a message.
+	ErrTruncated = errors.New("connection ended within a message")
+)
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, pooledBytes); return &b }}
+
+// Reader splits a byte stream into messages. It is not safe for concurrent
+// use.
+type Reader struct {
+	src    io.Reader
+	max    int
+	buf    []byte
+	pooled *[]byte
+	start  int
+	end    int
+	inline [inlineBytes]byte
+}
+
+// NewReader returns a reader that refuses messages of more than max bytes.
+func NewReader(src io.Reader, max int) *Reader {
+	r := &Reader{src: src, max: max}
+	r.buf = r.inline[:]
+	return r
+}
+
+// Reset reads from another source, for example after a TLS handshake. Bytes
+// that were read ahead are dropped.
+func (r *Reader) Reset(src io.Reader) {
+	r.src = src
+	r.start, r.end = 0, 0
+	r.Release()
+}
+
+// Buffered returns the number of bytes that were read but not returned.
+func (r *Reader) Buffered() int { return r.end - r.start }
+
+// Release gives the buffer back if nothing unread is in it. Frames returned
+// before must no longer be used.
+func (r *Reader) Release() {
+	if r.start != r.end {
+		return
+	}
+	r.start, r.end = 0, 0
+	if r.pooled != nil {
+		buffers.Put(r.pooled)
+		r.pooled = nil
+	}
+	r.buf = r.inline[:]
+}
+
+// Next returns the type of the next message and the whole message including
+// its header. The bytes are valid until the next call. io.EOF means that the
+// stream ended between two messages. After a timeout of the source, Next can
+// be called again.
+func (r *Reader) Next() (byte, []byte, error) {
+	if err := r.fill(HeaderBytes); err != nil {
+		return 0, nil, err
+	}
+	header := r.buf[r.start:]
+	length := int64(binary.BigEndian.Uint32(header[1:])) + 1
+	if length < HeaderBytes {
+		return 0, nil, fmt.Errorf("%w: length %d of message type %q", ErrMalformed, length-1, header[0])
+	}
+	if length > int64(r.max) {
+		return 0, nil, fmt.Errorf("%w: %d bytes, limit %d", ErrTooLarge, length, r.max)
+	}
+	return r.take(int(length))
+}
+
+// NextStartup returns the body of a packet without a type, as start-up,
+// cancel and encryption requests have it.
+func (r *Reader) NextStartup() ([]byte, error) {
+	if err := r.fill(4); err != nil {
+		return nil, err
+	}
+	length := int64(binary.BigEndian.Uint32(r.buf[r.start:]))
+	if length < 8 || length > maxStartupBytes {
+		return nil, fmt.Errorf("%w: start-up packet of %d bytes", ErrMalformed, length)
+	}
+	_, packet, err := r.take(int(length))
+	if err != nil {
+		return nil, err
+	}
+	return packet[4:], nil
+}
+
+func (r *Reader) take(length int) (byte, []byte, error) {
+	if err := r.fill(length); err != nil {
+		return 0, nil, err
+	}
+	frame := r.buf[r.start : r.start+length]
+	r.start += length
+	return frame[0], frame, nil
+}
+
+// fill reads until n unread bytes are contiguous in the buffer.
+func (r *Reader) fill(n int) error {
+	if r.start == r.end {
+		r.start, r.end = 0, 0
+	}
+	for r.end-r.start < n {
+		if r.start+n > len(r.buf) {
+			r.makeRoom(n)
+		}
+		got, err := r.src.Read(r.buf[r.end:])
+		r.end += got
+		if err != nil && r.end-r.start < n {
+			if errors.Is(err, io.EOF) && r.end > r.start {
+				return ErrTruncated
+			}
+			return err
+		}
+	}
+	return nil
+}
+
+// makeRoom moves the unread bytes to the front and enlarges the buffer. The
+// buffer at most doubles with each call, so a peer that announces a large
+// message and sends nothing gets no large buffer.
+func (r *Reader) makeRoom(n int) {
+	unread := r.buf[r.start:r.end]
+	if r.start > 0 && (n <= len(r.buf) || len(unread) < len(r.buf)) {
+		copy(r.buf, unread)
+		r.start, r.end = 0, len(unread)
+		if n <= len(r.buf) || r.end < len(r.buf) {
+			return
+		}
+	}
+	if r.end < len(r.buf) {
+		return
+	}
+	r.enlarge(n)
+}
+
+func (r *Reader) enlarge(n int) {
+	unread := r.buf[r.start:r.end]
+	old := r.pooled
+	if len(r.buf) < pooledBytes {
+		r.pooled, _ = buffers.Get().(*[]byte)
+		r.buf = *r.pooled
+	} else {
+		r.pooled = nil
+		r.buf = make([]byte, min(max(n, pooledBytes), 2*len(r.buf)))
+	}
+	r.end = copy(r.buf, unread)
+	r.start = 0
+	if old != nil {
+		buffers.Put(old)
+	}
+}
