--- /dev/null
+++ b/internal/backend/backendtest/refusal.go
@@ -0,0 +1,163 @@
+package backendtest
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2" //nolint:staticcheck // the suite is written as ginkgo specs
+	. "github.com/onsi/gomega"    //nolint:staticcheck // see above
+
+	"github.com/bramleylever/bramleylever/internal/backend"
+)
+
+func refusalSpecs(impl Implementation) {
+	// Guards against a write that takes effect although it was refused; the
+	// proxy forwards such a statement to the primary.
+	DescribeTable("writes are refused without effect", func(prepare func(c *cluster) int, before, write string) {
+		c := start(impl, 3)
+		c.prepare()
+		k := prepare(c)
+		writer := c.connect(k)
+		if before != "" {
+			writer.must(before)
+		}
+		writer.refused(backend.SQLStateReadOnly, write)
+		if before != "" {
+			writer.must("ROLLBACK")
+		}
+		Expect(writer.must("SELECT count(*) FROM contract")).To(Equal([]string{"0"}))
+	},
+		Entry("replica", replica, "", "INSERT INTO contract VALUES (1, 1)"),
+		Entry("replica, schema change", replica, "", "CREATE TABLE other (id bigint)"),
+		Entry("replica, lock", replica, "", "SELECT n FROM contract FOR UPDATE"),
+		Entry("replica, first write of a transaction", replica, "BEGIN; SELECT * FROM contract", "INSERT INTO contract VALUES (1, 1)"),
+		Entry("replica, after a read in one query", replica, "", "SELECT 1; DELETE FROM contract"),
+		Entry("fenced primary", fencedPrimary, "", "INSERT INTO contract VALUES (1, 1)"),
+		Entry("fenced primary, in a transaction", fencedPrimary, "BEGIN", "INSERT INTO contract VALUES (1, 1)"),
+		Entry("primary, read only transaction", func(*cluster) int { return 0 }, "BEGIN READ ONLY", "INSERT INTO contract VALUES (1, 1)"),
+	)
+
+	// Guards against a write that the old primary commits after the term was
+	// raised, which no majority would know.
+	DescribeTable("an open transaction when the term is raised", func(next string) {
+		c := start(impl, 3)
+		c.prepare()
+		writer := c.connect(0)
+		writer.must("BEGIN; INSERT INTO contract VALUES (1, 1)")
+		c.raise(term(2), 0)
+		_, err := writer.query(next)
+		Expect(stateOf(err)).To(Or(Equal(backend.SQLStateReadOnly), Equal("57P01")), "%v", err)
+		Expect(c.connect(0).must("SELECT count(*) FROM contract")).To(Equal([]string{"0"}))
+		Expect(c.status(0).Received).To(Equal(c.status(1).Received))
+	},
+		Entry("commit", "COMMIT"),
+		Entry("another write", "INSERT INTO contract VALUES (2, 2)"),
+		Entry("a read of its own write", "SELECT * FROM contract"),
+	)
+
+	// Guards against control statements of callers, and against a loss of
+	// control when callers use up the connections.
+	It("refuses control statements on data connections", func() {
+		c := start(impl, 1)
+		c.connect(0).refused("42501", "SELECT cluster_raise_term('9.9')")
+	})
+
+	// Guards against dirty reads and against reads that writers block.
+	It("reads committed data while a write transaction is open", func() {
+		c := start(impl, 3)
+		c.prepare()
+		writer := c.connect(0)
+		writer.must("BEGIN; INSERT INTO contract VALUES (1, 1)")
+		reader := c.connect(0)
+		Expect(reader.must("SELECT count(*) FROM contract")).To(Equal([]string{"0"}))
+		writer.must("COMMIT")
+		Expect(reader.must("SELECT count(*) FROM contract")).To(Equal([]string{"1"}))
+	})
+}
+
+func replica(*cluster) int { return 1 }
+
+func fencedPrimary(c *cluster) int {
+	c.raise(term(2), 0)
+	return 0
+}
+
+func quiesceSpecs(impl Implementation) {
+	const limit = 300 * time.Millisecond
+
+	// Guards against a switchover that loses the end of the log or that never
+	// lets writes go on.
+	It("refuses writes, returns the final position and ends by itself", func() {
+		c := start(impl, 3)
+		writer := c.prepare()
+		st, err := c.controls[0].Quiesce(c.context(), limit)
+		Expect(err).NotTo(HaveOccurred())
+		writer.refused(backend.SQLStateReadOnly, "INSERT INTO contract VALUES (1, 1)")
+		Expect(c.status(0).Received).To(Equal(st.Received))
+		writer.must("SELECT * FROM contract")
+		Eventually(func() error {
+			_, err := writer.query("INSERT INTO contract VALUES (2, 2)")
+			return err
+		}, settle).Should(Succeed())
+	})
+
+	// Guards against a final position that an open transaction later exceeds.
+	It("waits for the open transaction", func() {
+		c := start(impl, 3)
+		writer := c.prepare()
+		writer.must("BEGIN; INSERT INTO contract VALUES (1, 1)")
+		done := make(chan backend.Status, 1)
+		go func() {
+			defer GinkgoRecover()
+			st, err := c.controls[0].Quiesce(c.context(), settle)
+			Expect(err).NotTo(HaveOccurred())
+			done <- st
+		}()
+		other := c.connect(0)
+		Eventually(func() string {
+			_, err := other.query("BEGIN; DELETE FROM contract; ROLLBACK")
+			return stateOf(err)
+		}, settle).Should(Equal(backend.SQLStateReadOnly))
+		Consistently(done, absence).ShouldNot(Receive())
+		writer.must("INSERT INTO contract VALUES (2, 2); COMMIT")
+		var st backend.Status
+		Eventually(done, settle).Should(Receive(&st))
+		Expect(st.Received).To(Equal(writer.committed().LSN))
+	})
+
+	// Guards against a quiesce that stays in force after it failed.
+	It("is released if the open transaction does not end", func() {
+		c := start(impl, 3)
+		writer := c.prepare()
+		writer.must("BEGIN; INSERT INTO contract VALUES (1, 1)")
+		_, err := c.controls[0].Quiesce(c.context(), limit)
+		Expect(err).To(MatchError(backend.ErrRefused))
+		Expect(stateOf(err)).To(Equal(backend.SQLStateLockNotAvailable))
+		writer.must("COMMIT")
+		other := c.connect(0)
+		other.must("INSERT INTO contract VALUES (2, 2)")
+	})
+
+	// Guards against a switchover of an instance that has no writes to stop.
+	It("is refused by a replica", func() {
+		c := start(impl, 3)
+		_, err := c.controls[1].Quiesce(c.context(), limit)
+		Expect(err).To(MatchError(backend.ErrRefused))
+		Expect(stateOf(err)).To(Equal(backend.SQLStateNotInPrerequisiteState))
+	})
+
+	// Guards against a planned switchover that loses a commit.
+	It("serves a switchover", func() {
+		c := start(impl, 3)
+		writer := c.prepare()
+		for k := range 10 {
+			writer.must(fmt.Sprintf("INSERT INTO contract VALUES (%d, 0)", k))
+		}
+		st, err := c.controls[0].Quiesce(c.context(), settle)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() bool { return c.status(1).Received >= st.Received }, settle).Should(BeTrue())
+		c.failOver(term(2), 1, 0, 2)
+		Expect(c.connect(1).must("SELECT count(*) FROM contract")).To(Equal([]string{"10"}))
+		Expect(writer.must("SELECT count(*) FROM contract")).To(Equal([]string{"10"}))
+	})
+}
--- /dev/null
+++ b/internal/backend/backendtest/suite.go
@@ -0,0 +1,282 @@
+package backendtest
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2" //nolint:staticcheck // the suite is written as ginkgo specs
+	. "github.com/onsi/gomega"    //nolint:staticcheck // see above
+
+	"github.com/bramleylever/bramleylever/internal/backend"
+	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// Run defines the specs of the contract for an implementation. The result is
+// of no use but to call Run at the top level of a test file.
+func Run(name string, impl Implementation) bool {
+	return Describe(name, func() {
+		termSpecs(impl)
+		forkSpecs(impl)
+		majoritySpecs(impl)
+		guardSpecs(impl)
+		refusalSpecs(impl)
+		quiesceSpecs(impl)
+	})
+}
+
+// termCase is a control statement in a group that is in term 1.3: instance 0
+// is primary, 1 follows it and 2 is fenced.
+type termCase struct {
+	call  func(c *cluster) (backend.Status, error)
+	want  error // nil if accepted
+	role  backend.Role
+	index int
+}
+
+func termSpecs(impl Implementation) {
+	raise := func(k int, n uint64) termCase {
+		return termCase{index: k, call: func(c *cluster) (backend.Status, error) {
+			return c.controls[k].RaiseTerm(c.context(), term(n))
+		}}
+	}
+	promote := func(k int, n uint64) termCase {
+		return termCase{index: k, call: func(c *cluster) (backend.Status, error) {
+			return c.controls[k].Promote(c.context(), term(n))
+		}}
+	}
+	follow := func(k int, n uint64, primary int) termCase {
+		return termCase{index: k, call: func(c *cluster) (backend.Status, error) {
+			return c.controls[k].Follow(c.context(), term(n), c.group.Addresses()[primary])
+		}}
+	}
+	expect := func(t termCase, role backend.Role, err error) termCase {
+		t.role, t.want = role, err
+		return t
+	}
+	primary, replica, fenced := backend.RolePrimary, backend.RoleReplica, backend.RoleFenced
+
+	// Guards against two primaries in one term and against a stale
+	// coordinator that changes a newer group.
+	DescribeTable("terms", func(t termCase) {
+		c := startFenced(impl, 3)
+		c.raise(term(3), 0, 1, 2)
+		c.promote(term(3), 0)
+		c.follow(term(3), 1, 0)
+		_, err := t.call(c)
+		if t.want == nil {
+			Expect(err).NotTo(HaveOccurred())
+		} else {
+			Expect(err).To(MatchError(t.want))
+			Expect(err).To(MatchError(ContainSubstring(c.group.Addresses()[t.index])), "the error names the peer")
+		}
+		Expect(c.status(t.index).Role).To(Equal(t.role))
+	},
+		Entry("raise above fences a primary", expect(raise(0, 4), fenced, nil)),
+		Entry("raise above fences a replica", expect(raise(1, 4), fenced, nil)),
+		Entry("raise repeated leaves a primary", expect(raise(0, 3), primary, nil)),
+		Entry("raise repeated leaves a replica", expect(raise(1, 3), replica, nil)),
+		Entry("raise below", expect(raise(0, 2), primary, outcome.ErrStaleTerm)),
+		Entry("promote below", expect(promote(2, 2), fenced, outcome.ErrStaleTerm)),
+		Entry("promote above", expect(promote(2, 4), fenced, backend.ErrRefused)),
+		Entry("promote repeated", expect(promote(0, 3), primary, nil)),
+		Entry("promote a replica of the term", expect(promote(1, 3), replica, backend.ErrRefused)),
+		Entry("follow below", expect(follow(2, 2, 0), fenced, outcome.ErrStaleTerm)),
+		Entry("follow in the term", expect(follow(2, 3, 0), replica, nil)),
+		Entry("follow repeated", expect(follow(1, 3, 0), replica, nil)),
+		Entry("follow another primary in the term", expect(follow(1, 3, 2), replica, backend.ErrRefused)),
+		Entry("follow as the primary of the term", expect(follow(0, 3, 1), primary, backend.ErrRefused)),
+	)
+
+	// Guards against a candidate choice that cannot tell a new primary's log
+	// from an old one of the same length.
+	It("starts the term's log with an entry of the term", func() {
+		c := start(impl, 3)
+		c.failOver(term(2), 1, 2, 0)
+		for k := range 3 {
+			Eventually(func() position.Term { return c.status(k).LastLogTerm }, settle).Should(Equal(term(2)))
+		}
+		Expect(c.status(1).History).To(HaveLen(2))
+	})
+}
+
+func forkSpecs(impl Implementation) {
+	// Guards against a replica that keeps entries which the new primary never
+	// had, and against a data connection whose learned position was undone.
+	It("drops the fork and closes the data connections", func() {
+		c := start(impl, 3)
+		writer := c.prepare()
+		Expect(c.group.Isolate(0)).To(Succeed())
+		writer.must("INSERT INTO contract VALUES (1, 1)")
+		fork := writer.committed()
+		reader := c.connect(0)
+		Expect(reader.must("SELECT id FROM contract")).To(Equal([]string{"1"}))
+
+		c.failOver(term(2), 1, 2)
+		other := c.connect(1)
+		other.must("INSERT INTO contract VALUES (2, 2)")
+		kept := other.committed()
+		other.must(waitReplicated(settle))
+		Expect(c.group.Heal()).To(Succeed())
+		c.follow(term(2), 0, 1)
+
+		c.awaitApplied(0, kept)
+		Expect(c.status(0).History.Contains(fork)).To(BeFalse())
+		_, err := reader.query("SELECT id FROM contract")
+		Expect(err).To(HaveOccurred())
+		fresh := c.connect(0)
+		Expect(fresh.must("SELECT id FROM contract")).To(Equal([]string{"2"}))
+		fresh.refused(backend.SQLStateNotInPrerequisiteState, guard(fork, 0, -1))
+	})
+
+	// Guards against connections that are closed by every change of primary.
+	It("keeps the data connections of a replica that had no fork", func() {
+		c := start(impl, 3)
+		c.prepare()
+		reader := c.connect(2)
+		c.failOver(term(2), 1, 2)
+		Expect(reader.must("SELECT count(*) FROM contract")).To(Equal([]string{"0"}))
+	})
+}
+
+func majoritySpecs(impl Implementation) {
+	// Guards against an acknowledged write that a promotion can lose.
+	DescribeTable("acknowledges a commit only with a majority",
+		func(isolated []int, state string) {
+			c := start(impl, 3)
+			writer := c.prepare()
+			for _, k := range isolated {
+				Expect(c.group.Isolate(k)).To(Succeed())
+			}
+			before := c.status(0).Confirmed
+			writer.must("INSERT INTO contract VALUES (1, 1)")
+			if state == "" {
+				writer.must(waitReplicated(settle))
+				Expect(c.status(0).Confirmed).To(BeNumerically(">=", writer.committed().LSN))
+				return
+			}
+			writer.refused(state, waitReplicated(absence))
+			Expect(c.status(0).Confirmed).To(Equal(before))
+			writer.refused(state, fmt.Sprintf("SELECT cluster_confirm_primary(%d)", absence.Milliseconds()))
+			Expect(c.group.Heal()).To(Succeed())
+			writer.must(waitReplicated(settle))
+		},
+		Entry("no replica cut", nil, ""),
+		Entry("one replica cut", []int{2}, ""),
+		Entry("both replicas cut", []int{1, 2}, backend.SQLStateLockNotAvailable),
+		Entry("the primary cut", []int{0}, backend.SQLStateLockNotAvailable),
+	)
+
+	// Guards against acknowledgements by an old primary: replicas in a higher
+	// term must not count for it.
+	It("is not confirmed by replicas in a higher term", func() {
+		c := start(impl, 3)
+		writer := c.prepare()
+		c.raise(term(2), 1, 2)
+		writer.must("INSERT INTO contract VALUES (1, 1)")
+		writer.refused(backend.SQLStateLockNotAvailable, waitReplicated(absence))
+		writer.refused(backend.SQLStateLockNotAvailable,
+			fmt.Sprintf("SELECT cluster_confirm_primary(%d)", absence.Milliseconds()))
+	})
+
+	// Guards against a wait that reports success after the primary was fenced.
+	It("fails the wait once the primary is fenced", func() {
+		c := start(impl, 3)
+		writer := c.prepare()
+		writer.must("INSERT INTO contract VALUES (1, 1)")
+		c.raise(term(2), 0)
+		writer.refused(backend.SQLStateNotInPrerequisiteState, waitReplicated(settle))
+		writer.refused(backend.SQLStateNotInPrerequisiteState, "SELECT cluster_confirm_primary(100)")
+	})
+
+	// Guards against a frozen replica that counts although it answers nothing.
+	It("does not count frozen replicas until they are thawed", func() {
+		c := start(impl, 3)
+		writer := c.prepare()
+		c.group.Freeze(1)
+		c.group.Freeze(2)
+		writer.must("INSERT INTO contract VALUES (1, 1)")
+		writer.refused(backend.SQLStateLockNotAvailable, waitReplicated(absence))
+		c.group.Thaw(1)
+		writer.must(waitReplicated(settle))
+		c.group.Thaw(2)
+	})
+}
+
+func guardSpecs(impl Implementation) {
+	// Guards against reads that miss the session's own write.
+	It("waits until the position is applied", func() {
+		c := start(impl, 3)
+		writer := c.prepare()
+		reader := c.connect(1)
+		for k := range 20 {
+			writer.must(fmt.Sprintf("INSERT INTO contract VALUES (%d, 0)", k))
+			got := reader.must(guard(writer.committed(), settle, -1) + fmt.Sprintf("; SELECT id FROM contract WHERE id = %d", k))
+			Expect(got).To(Equal([]string{fmt.Sprint(k)}))
+		}
+	})
+
+	// Guards against a guard that passes for a position on a fork, or that
+	// gives up on a position that is still to come.
+	DescribeTable("positions outside of the applied log", func(wanted position.Position, state string) {
+		c := start(impl, 3)
+		c.prepare()
+		c.failOver(term(3), 1, 2, 0)
+		reader := c.connect(2)
+		Eventually(func() position.Term { return c.status(2).LastLogTerm }, settle).Should(Equal(term(3)))
+		if state == "" {
+			reader.must(guard(wanted, settle, -1))
+			return
+		}
+		reader.refused(state, guard(wanted, absence/4, -1))
+	},
+		Entry("none", position.Position{}, ""),
+		Entry("in an old term", position.Position{Term: term(1), LSN: 2}, ""),
+		Entry("past the fork of an old term", position.Position{Term: term(1), LSN: 9}, backend.SQLStateNotInPrerequisiteState),
+		Entry("in a term that was skipped", position.Position{Term: term(2), LSN: 2}, backend.SQLStateNotInPrerequisiteState),
+		Entry("ahead in the present term", position.Position{Term: term(3), LSN: 99}, backend.SQLStateLockNotAvailable),
+		Entry("in a later term", position.Position{Term: term(4), LSN: 1}, backend.SQLStateLockNotAvailable),
+	)
+
+	// Guards against stale data being passed off as fresh, by a replica or by
+	// an old primary, when no majority can vouch for it.
+	DescribeTable("age of the data", func(instance int, isolated []int, maxAge time.Duration, state string) {
+		c := start(impl, 3)
+		c.prepare()
+		for _, k := range isolated {
+			Expect(c.group.Isolate(k)).To(Succeed())
+		}
+		reader := c.connect(instance)
+		if state != "" {
+			time.Sleep(absence) // the age that the guard must refuse
+			reader.refused(state, guard(position.Position{}, absence/4, maxAge))
+			return
+		}
+		got := decodeGuard(reader.must(guard(position.Position{}, settle, maxAge))[0])
+		Expect(got.AgeMS).To(And(BeNumerically(">=", 0), BeNumerically("<=", maxAge.Milliseconds())))
+	},
+		Entry("replica, fresh", 1, nil, time.Duration(0), ""),
+		Entry("replica, any age", 1, nil, time.Hour, ""),
+		Entry("primary, fresh", 0, nil, time.Duration(0), ""),
+		Entry("replica that is cut off", 1, []int{1}, absence/2, backend.SQLStateLockNotAvailable),
+		Entry("primary that is cut off", 0, []int{0}, absence/2, backend.SQLStateLockNotAvailable),
+		Entry("replica of a primary without majority", 1, []int{0}, absence/2, backend.SQLStateLockNotAvailable),
+	)
+
+	// Guards against positions that are not announced, or that go back.
+	It("announces commit and applied positions", func() {
+		c := start(impl, 1)
+		writer := c.prepare()
+		last := writer.committed()
+		Expect(last.IsZero()).To(BeFalse())
+		for k := range 3 {
+			writer.must(fmt.Sprintf("INSERT INTO contract VALUES (%d, 0)", k))
+			Expect(writer.committed().LSN).To(Equal(last.LSN + 1))
+			last = writer.committed()
+			Expect(writer.conn.ParameterStatus(backend.ParameterAppliedPosition)).To(Equal(last.String()))
+		}
+		writer.must("SELECT * FROM contract")
+		writer.must("UPDATE contract SET n = 1 WHERE id = 99")
+		Expect(writer.committed()).To(Equal(last), "nothing was changed")
+	})
+}
--- a/internal/backend/standin/faults.go
+++ b/internal/backend/standin/faults.go
@@ -60,6 +60,11 @@
 	if s.ConnectionLimit < 0 {
 		return fmt.Errorf("connection_limit: %d is negative", s.ConnectionLimit)
 	}
+	for _, p := range s.Cut {
+		if !p.IsValid() {
+			return fmt.Errorf("cut: invalid prefix")
+		}
+	}
 	for _, d := range []Duration{s.Lag, s.ReceiveDelay, s.ConnectionCost, s.ServiceTime} {
 		if d < 0 {
 			return fmt.Errorf("duration %s is negative", time.Duration(d))
--- a/internal/backend/standin/group.go
+++ b/internal/backend/standin/group.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"net/netip"
 	"time"
 
 	"github.com/bramleylever/bramleylever/position"
@@ -24,28 +26,76 @@
 // each; the names are the configured name, by default "instance", with a
 // number from 1.
 func NewGroup(n int, cfg Config) (*Group, error) {
+	hosts := make([]string, n)
+	for k := range hosts {
+		hosts[k] = "127.0.0.1"
+	}
+	return NewGroupAt(hosts, cfg)
+}
+
+// NewGroupAt is NewGroup with one instance on each of the given IP addresses,
+// for example 127.0.0.2; with addresses of their own the instances can be cut
+// off from each other.
+func NewGroupAt(hosts []string, cfg Config) (*Group, error) {
+	g, err := StartInstances(hosts, cfg)
+	if err != nil {
+		return nil, err
+	}
+	if err := g.form(); err != nil {
+		g.Close()
+		return nil, err
+	}
+	return g, nil
+}
+
+// StartInstances starts the instances of a group without a primary; each is
+// fenced in term 0.0.
+func StartInstances(hosts []string, cfg Config) (*Group, error) {
 	g := &Group{}
 	prefix := cfg.Name
 	if prefix == "" {
 		prefix = "instance"
 	}
-	for k := range n {
+	for k, host := range hosts {
 		cfg.Name = fmt.Sprintf("%s%d", prefix, k+1)
-		cfg.GroupSize = n
+		cfg.GroupSize = len(hosts)
 		i := New(cfg)
-		if err := i.Start("127.0.0.1:0"); err != nil {
+		if err := i.Start(net.JoinHostPort(host, "0")); err != nil {
 			g.Close()
 			return nil, err
 		}
 		g.Instances = append(g.Instances, i)
 	}
-	if err := g.form(); err != nil {
-		g.Close()
-		return nil, err
-	}
 	return g, nil
 }
 
+// Isolate cuts the connections between instance k and the others of the
+// group. The instances must have different IP addresses.
+func (g *Group) Isolate(k int) error {
+	for j, other := range g.Instances {
+		if j == k {
+			continue
+		}
+		if err := other.Cut(g.Instances[k].prefix()); err != nil {
+			return err
+		}
+		if err := g.Instances[k].Cut(other.prefix()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Heal ends all cuts of the group's instances.
+func (g *Group) Heal() error {
+	for _, i := range g.Instances {
+		if err := i.Heal(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (g *Group) form() error {
 	primary := g.Instances[0]
 	if _, err := primary.RaiseTerm(groupTerm); err != nil {
@@ -89,3 +139,32 @@
 		i.Discard()
 	}
 }
+
+// prefix returns the prefix that contains only the address of the instance.
+func (i *Instance) prefix() netip.Prefix {
+	addr := i.lastAddr.Load()
+	if addr == nil {
+		return netip.Prefix{}
+	}
+	return netip.PrefixFrom(*addr, addr.BitLen())
+}
+
+// Freeze makes the instance answer nothing until Thaw.
+func (i *Instance) Freeze() { _ = i.Update(func(s *Settings) { s.Frozen = true }) }
+
+// Thaw ends a freeze.
+func (i *Instance) Thaw() { _ = i.Update(func(s *Settings) { s.Frozen = false }) }
+
+// Cut holds back the connections from and to the given prefixes, in addition
+// to those that are cut already.
+func (i *Instance) Cut(prefixes ...netip.Prefix) error {
+	return i.Update(func(s *Settings) { s.Cut = append(s.Cut, prefixes...) })
+}
+
+// Heal ends all cuts; connections continue where they were.
+func (i *Instance) Heal() error { return i.Update(func(s *Settings) { s.Cut = nil }) }
+
+// SetLag sets the time from receiving to applying a log entry.
+func (i *Instance) SetLag(d time.Duration) error {
+	return i.Update(func(s *Settings) { s.Lag = Duration(d) })
+}
--- a/internal/backend/standin/instance.go
+++ b/internal/backend/standin/instance.go
@@ -13,6 +13,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -92,7 +94,8 @@
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 
-	replica atomic.Bool
+	replica  atomic.Bool
+	lastAddr atomic.Pointer[netip.Addr]
 }
 
 // New returns an instance that is not started. It is fenced in term 0.0 and
@@ -161,6 +164,8 @@
 		i.db = db
 	}
 	i.listener = listener
+	addr := addressOf(listener.Addr())
+	i.lastAddr.Store(&addr)
 	i.ctx, i.cancel = context.WithCancel(context.Background())
 	if i.cfg.Name == "" {
 		i.cfg.Name = listener.Addr().String()
@@ -171,6 +176,9 @@
 
 // resume continues in the role that the instance had when it was closed.
 func (i *Instance) resume() {
+	if i.Status().Role == backend.RolePrimary {
+		i.applyTo(i.Status().Received)
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	switch i.state.role {
@@ -236,7 +244,11 @@
 }
 
 // Settings returns the current settings.
-func (i *Instance) Settings() Settings { return *i.switches.get() }
+func (i *Instance) Settings() Settings {
+	s := *i.switches.get()
+	s.Cut = slices.Clone(s.Cut)
+	return s
+}
 
 // Update changes the settings. It returns an error and changes nothing if the
 // result is not valid.
--- a/internal/backend/standin/transaction.go
+++ b/internal/backend/standin/transaction.go
@@ -102,7 +102,6 @@
 		s.rollback()
 		return false, err
 	}
-	t.writer.release()
 	s.tx.writer = nil
 	s.finish(true)
 	s.committed(p)
--- a/internal/backend/standin/writer.go
+++ b/internal/backend/standin/writer.go
@@ -100,8 +100,10 @@
 	return i.writer, nil
 }
 
-// commit ends the transaction that holds w and logs its statements. The zero
-// position means that nothing was changed.
+// commit ends the transaction that holds w and logs its statements. It gives
+// up the writer before the entry is applied, so that the next transaction runs
+// meanwhile; applying keeps the order of the log. The zero position means that
+// nothing was changed.
 func (i *Instance) commit(w *writer, statements []logStatement) (position.Position, error) {
 	if w.isAborted() {
 		return position.Position{}, errAborted
@@ -113,12 +115,14 @@
 		return position.Position{}, err
 	}
 	if len(statements) == 0 {
+		w.release()
 		return position.Position{}, nil
 	}
 	p, ok := i.appendCommit(w, statements)
 	if !ok {
 		return position.Position{}, errAborted
 	}
+	w.release()
 	i.applyTo(p.LSN)
 	return p, nil
 }
