Limit fallback reads exactly and test the caller-facing promises

Two readers could pass the fallback check at once, so up to twice the limit of reads ran on the primary; reads whose replica had refused the guard were not counted at all. The limit is now taken before the connection is asked for. A request that waited for a primary in vain is refused with 57P03 also if its last attempt ended in the connection queue.

--- a/internal/frontend/fake_test.go
+++ b/internal/frontend/fake_test.go
@@ -341,3 +341,9 @@
 	}
 	return []pgproto3.BackendMessage{column("g"), row("{}"), complete("SELECT 1")}
 }
+
+func (f *fakeInstance) connections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -95,16 +95,20 @@
 
 func newFallbackLimit() *fallbackLimit { return &fallbackLimit{running: map[string]int{}} }
 
-// allowed reports whether one more read may run on a primary to which the host
-// may hold the given number of connections.
-func (f *fallbackLimit) allowed(instance string, connections int) bool {
+// take reports whether one more read may run on a primary to which the host
+// may hold the given number of connections. If so, give must follow.
+func (f *fallbackLimit) take(instance string, connections int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.running[instance] < max(connections/2, 1)
+	if f.running[instance] >= max(connections/2, 1) {
+		return false
+	}
+	f.running[instance]++
+	return true
 }
 
-func (f *fallbackLimit) add(instance string, n int) {
+func (f *fallbackLimit) give(instance string) {
 	f.mu.Lock()
-	f.running[instance] += n
+	f.running[instance]--
 	f.mu.Unlock()
 }
--- /dev/null
+++ b/internal/frontend/outcome_test.go
@@ -0,0 +1,409 @@
+package frontend_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleylever/bramleylever/internal/frontend"
+	"github.com/bramleylever/bramleylever/internal/records"
+	"github.com/bramleylever/bramleylever/internal/topology"
+)
+
+type limiterFunc func(string) bool
+
+func (l limiterFunc) Admit(account string, _ time.Time) bool { return l(account) }
+
+var _ = Describe("Promise 10: not run is true", func() {
+	var b *bench
+	quick := func(c *frontend.Config) {
+		c.QueueTimeout = 200 * time.Millisecond
+		c.Limiter = limiterFunc(func(account string) bool { return account != "public" })
+	}
+	BeforeEach(func() { b = newBench(quick) })
+	AfterEach(func() { b.close() })
+
+	// Guards against a refusal that says "not run" although the write ran, and
+	// against refusals that do not say what happened.
+	DescribeTable("refuses with the stated SQLSTATE and runs nothing",
+		func(state, route, sql string, fault func(b *bench)) {
+			user := "k1"
+			if route == "open" {
+				user = "anonymous"
+			}
+			conn, err := pgx.Connect(ctx(), b.dsn(user, keySecret, route, "&default_query_exec_mode=simple_protocol"))
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close(ctx())
+			fault(b)
+			_, err = conn.Exec(ctx(), sql)
+			Expect(sqlState(err)).To(Equal(state))
+			Expect(err.Error()).To(ContainSubstring("not run"))
+			Expect(b.primary.count("INSERT")).To(BeZero())
+		},
+		Entry("no primary known", "57P03", "orders", insert, func(b *bench) {
+			b.topology.Update(topology.Group{Database: "db", Term: term(2)})
+		}),
+		Entry("primary unreachable", "57P03", "orders", insert, func(b *bench) { b.primary.stop() }),
+		Entry("no instance reachable for a read", "57P03", "orders", "SELECT 1", func(b *bench) {
+			b.primary.stop()
+			b.replica.stop()
+		}),
+		Entry("no connection free", "53300", "orders", insert, func(b *bench) {
+			for range 4 {
+				Expect(exec(b.connect(""), "BEGIN")).To(BeEmpty())
+			}
+		}),
+		Entry("rate exceeded", "53400", "open", insert, func(*bench) {}),
+	)
+
+	// Guards against a request that runs with another session's parameters.
+	It("does not run a request whose parameters the instance refuses", func() {
+		conn := b.connect("&TimeZone=nowhere")
+		defer conn.Close(ctx())
+		b.primary.inject(failing("SET timezone", "22023"))
+		Expect(exec(conn, insert)).To(Equal("22023"))
+		Expect(b.primary.count("INSERT")).To(BeZero())
+	})
+
+	// Guards against a queue without bound.
+	It("bounds the requests that wait for a primary", func() {
+		b.close()
+		b = newBench(quick, func(c *frontend.Config) { c.QueueRequests = 3; c.QueueTimeout = time.Second })
+		b.topology.Update(topology.Group{Database: "db", Term: term(2)})
+		var full atomic.Int32
+		var wg sync.WaitGroup
+		for range 8 {
+			conn := b.connect("")
+			defer conn.Close(ctx())
+			wg.Go(func() {
+				if _, err := conn.Exec(ctx(), insert); err != nil && strings.Contains(err.Error(), "queue is full") {
+					full.Add(1)
+				}
+			})
+		}
+		Eventually(full.Load).Should(Equal(int32(5)))
+		b.topology.Update(topology.Group{Database: "db", Term: term(3), Primary: "a"})
+		wg.Wait()
+		Expect(b.primary.count("INSERT")).To(Equal(3))
+	})
+
+	// Guards against a transaction that cannot be ended once the rate is
+	// exceeded, and against one that commits without its refused statement.
+	It("admits the end of a transaction always", func() {
+		var closed atomic.Bool
+		b.close()
+		b = newBench(func(c *frontend.Config) {
+			c.Limiter = limiterFunc(func(string) bool { return !closed.Load() })
+		})
+		conn := b.connect("&default_query_exec_mode=simple_protocol")
+		defer conn.Close(ctx())
+		Expect(exec(conn, "BEGIN")).To(BeEmpty())
+		Expect(exec(conn, insert)).To(BeEmpty())
+		closed.Store(true)
+		Expect(exec(conn, "COMMIT")).To(BeEmpty())
+		closed.Store(false)
+		Expect(exec(conn, "BEGIN")).To(BeEmpty())
+		closed.Store(true)
+		Expect(exec(conn, insert)).To(Equal("53400"))
+		tag, err := conn.Exec(ctx(), "COMMIT")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(tag.String()).To(Equal("ROLLBACK"))
+		Expect(b.primary.count("INSERT")).To(Equal(1))
+	})
+})
+
+var _ = Describe("Promise 11: at most once", func() {
+	var b *bench
+	BeforeEach(func() { b = newBench() })
+	AfterEach(func() { b.close() })
+
+	// Guards against sending a request again that may have taken effect, and
+	// against giving up on one that had none.
+	DescribeTable("a connection that fails",
+		func(extra string, fault func(*fakeConn, string) (answers, bool), sql, state string, runs int) {
+			conn := b.connect("&default_query_exec_mode=simple_protocol" + extra)
+			defer conn.Close(ctx())
+			b.primary.inject(fault)
+			b.replica.inject(fault)
+			Expect(exec(conn, sql)).To(Equal(state))
+			Expect(b.primary.count(sql) + b.replica.count(sql)).To(Equal(runs))
+			b.primary.inject(nil)
+			Expect(exec(conn, insert)).To(BeEmpty())
+		},
+		Entry("write, before it ran", "", dropping("INSERT", false), insert, "08007", 1),
+		Entry("write, after it ran", "", dropping("INSERT", true), insert, "08007", 1),
+		Entry("write, during the wait", "", dropping("cluster_wait", false), insert, "08007", 1),
+		Entry("idempotent write", "&bramleylever.idempotent=on", dropping("INSERT", true), insert, "", 2),
+		Entry("read", "", dropping("SELECT v", true), "SELECT v FROM t", "", 2),
+		Entry("a function that may write", "", dropping("SELECT f", true), "SELECT f(1)", "08007", 1),
+		Entry("block in one string", "", dropping("COMMIT", true), "BEGIN; INSERT; COMMIT", "08007", 0),
+	)
+
+	// Guards against repeating a write on a connection that the instance had
+	// closed while it was idle; such a write was never sent.
+	It("does not use a connection that the instance closed", func() {
+		conn := b.connect("")
+		defer conn.Close(ctx())
+		Expect(exec(conn, insert)).To(BeEmpty())
+		b.primary.kill()
+		Eventually(b.primary.connections).Should(BeZero())
+		Expect(exec(conn, insert)).To(BeEmpty())
+	})
+
+	// Guards against a failed request in a transaction being reported as run,
+	// and against a lost commit being reported as not run.
+	DescribeTable("a connection that fails in a transaction",
+		func(sql, state, message string) {
+			conn := b.connect("&default_query_exec_mode=simple_protocol")
+			defer conn.Close(ctx())
+			Expect(exec(conn, "BEGIN")).To(BeEmpty())
+			Expect(exec(conn, insert)).To(BeEmpty())
+			b.primary.inject(dropping(sql, true))
+			_, err := conn.Exec(ctx(), sql)
+			Expect(sqlState(err)).To(Equal(state))
+			Expect(err.Error()).To(ContainSubstring(message))
+			_, err = conn.Exec(ctx(), "ROLLBACK")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(exec(conn, "SELECT 1")).To(BeEmpty())
+		},
+		Entry("statement", "SELECT v FROM t", "08006", "not run"),
+		Entry("commit", "COMMIT", "08007", "outcome unknown"),
+	)
+
+	// Guards against part of an answer being followed by a repeated answer.
+	It("does not repeat a read after part of its answer reached the caller", func() {
+		b.replica.inject(func(c *fakeConn, sql string) (answers, bool) {
+			if strings.HasPrefix(sql, "SELECT v") {
+				for range 5000 {
+					c.be.Send(row("some value of a row"))
+				}
+				_ = c.be.Flush()
+				time.Sleep(50 * time.Millisecond)
+				c.net.Close()
+			}
+			return nil, false
+		})
+		conn := b.connect("&default_query_exec_mode=simple_protocol")
+		defer conn.Close(ctx())
+		Expect(exec(conn, "SELECT v FROM t")).To(Equal("08007"))
+	})
+
+	// Guards against repetitions that multiply the load of a failing fleet.
+	It("limits repeated requests by the budget", func() {
+		always := func(c *fakeConn, sql string) (answers, bool) {
+			if strings.HasPrefix(sql, "SELECT v") {
+				c.net.Close()
+			}
+			return nil, false
+		}
+		b.primary.inject(always)
+		b.replica.inject(always)
+		conn := b.connect("&default_query_exec_mode=simple_protocol")
+		defer conn.Close(ctx())
+		const requests = 100
+		for range requests {
+			Expect(exec(conn, "SELECT v FROM t")).To(Equal("57P03"))
+		}
+		sent := b.primary.count("SELECT v") + b.replica.count("SELECT v")
+		Expect(sent).To(BeNumerically("<=", requests+requests/10+30+3*10))
+	})
+
+	// Guards against failed requests in a planned switchover.
+	It("queues writes that an instance refused before any effect", func() {
+		b.primary.set(func() { b.primary.primary = false })
+		conn := b.connect("")
+		defer conn.Close(ctx())
+		time.AfterFunc(120*time.Millisecond, func() {
+			b.replica.set(func() { b.replica.primary = true })
+			b.topology.Update(topology.Group{Database: "db", Term: term(2), Primary: "b"})
+		})
+		Expect(exec(conn, insert)).To(BeEmpty())
+		Expect(one(conn, "SELECT v FROM t")).To(Equal("b:1"))
+	})
+
+	// Guards against statements that are wrongly taken for reads.
+	It("forwards a write that a replica refused", func() {
+		refuse := failing("SELECT w", "25006")
+		b.replica.inject(refuse)
+		for _, mode := range []string{"simple_protocol", "exec", "cache_statement"} {
+			conn := b.connect("&default_query_exec_mode=" + mode)
+			Expect(one(conn, "SELECT w()")).To(Equal("a:0"))
+			conn.Close(ctx())
+		}
+		Expect(b.counter("frontend.forwarded_requests")).To(Equal(int64(3)))
+	})
+})
+
+func execLater(conn *pgx.Conn, sql string) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = conn.Exec(context.Background(), sql)
+	}()
+	return done
+}
+
+var _ = Describe("Keys", func() {
+	var b *bench
+	var confirmed atomic.Bool
+	BeforeEach(func() {
+		confirmed.Store(true)
+		b = newBench(func(c *frontend.Config) {
+			c.Confirmed = func(time.Time) bool { return confirmed.Load() }
+		})
+	})
+	AfterEach(func() { b.close() })
+
+	withdraw := func(b *bench) {
+		b.publish(func(s *records.Snapshot) {
+			key := s.Keys["k1"]
+			key.Withdrawn = true
+			s.Keys = map[string]records.Key{"k1": key}
+		})
+	}
+
+	Describe("Promise 4: only with the account's key", func() {
+		// Guards against a request that runs without a valid key.
+		DescribeTable("refuses other keys",
+			func(user, password, route, state string) {
+				_, err := pgx.Connect(ctx(), b.dsn(user, password, route, ""))
+				Expect(sqlState(err)).To(Equal(state))
+			},
+			Entry("right key", "k1", keySecret, "orders", ""),
+			Entry("wrong secret", "k1", "other", "orders", "28P01"),
+			Entry("unknown key", "k2", keySecret, "orders", "28P01"),
+			Entry("no key", "anonymous", "x", "orders", "28P01"),
+			Entry("no key on an open route", "anonymous", "x", "open", ""),
+			Entry("wrong key on an open route", "k1", "other", "open", "28P01"),
+		)
+
+		// Guards against service without a confirmed configuration.
+		It("refuses requests with a key while the host is not confirmed", func() {
+			conn := b.connect("")
+			defer conn.Close(ctx())
+			open, err := pgx.Connect(ctx(), b.dsn("anonymous", "x", "open", ""))
+			Expect(err).NotTo(HaveOccurred())
+			defer open.Close(ctx())
+			confirmed.Store(false)
+			Expect(exec(conn, insert)).To(Equal("28000"))
+			_, err = pgx.Connect(ctx(), b.dsn("k1", keySecret, "orders", ""))
+			Expect(sqlState(err)).To(Equal("28000"))
+			Expect(exec(open, "SELECT 1")).To(BeEmpty())
+			b.publish(func(s *records.Snapshot) {
+				s.Accounts = map[string]records.Account{"acc": {Name: "acc", ServeUnconfirmed: true}}
+			})
+			Expect(exec(conn, insert)).To(BeEmpty())
+		})
+	})
+
+	// Guards against the caller's secret or key id reaching an instance.
+	It("Promise 5: never sends a caller's key to an instance", func() {
+		conn := b.connect("")
+		defer conn.Close(ctx())
+		Expect(exec(conn, insert)).To(BeEmpty())
+		one(conn, "SELECT 1")
+		for _, f := range []*fakeInstance{b.primary, b.replica} {
+			f.set(func() {
+				Expect(f.passwords).To(HaveEach(proxyPassword))
+				Expect(f.startups).To(HaveEach(Equal(map[string]string{"user": proxyUser, "database": "db"})))
+				Expect(fmt.Sprint(f.log)).NotTo(ContainSubstring("k1"))
+			})
+		}
+	})
+
+	Describe("Promise 6: a withdrawn key stops working", func() {
+		// Guards against a withdrawn key staying in use on live connections.
+		DescribeTable("ends live connections",
+			func(prepare func(conn *pgx.Conn) <-chan struct{}) {
+				conn := b.connect("&default_query_exec_mode=simple_protocol")
+				defer conn.Close(ctx())
+				done := prepare(conn)
+				withdraw(b)
+				Eventually(b.server.Sessions).Should(BeZero())
+				if done != nil {
+					<-done
+				}
+				Expect(exec(conn, insert)).NotTo(BeEmpty())
+				Expect(b.primary.count("COMMIT")).To(BeZero())
+				_, err := pgx.Connect(ctx(), b.dsn("k1", keySecret, "orders", ""))
+				Expect(sqlState(err)).To(Equal("28000"))
+			},
+			Entry("idle", func(*pgx.Conn) <-chan struct{} { return nil }),
+			Entry("in a transaction", func(conn *pgx.Conn) <-chan struct{} {
+				Expect(exec(conn, "BEGIN")).To(BeEmpty())
+				return nil
+			}),
+			Entry("while a statement runs", func(conn *pgx.Conn) <-chan struct{} {
+				running := make(chan struct{})
+				b.primary.inject(func(_ *fakeConn, sql string) (answers, bool) {
+					if strings.HasPrefix(sql, "UPDATE") {
+						close(running)
+						time.Sleep(time.Hour)
+					}
+					return nil, false
+				})
+				done := execLater(conn, "UPDATE t")
+				<-running
+				return done
+			}),
+			Entry("while it waits for a primary", func(conn *pgx.Conn) <-chan struct{} {
+				b.topology.Update(topology.Group{Database: "db", Term: term(2)})
+				done := execLater(conn, "UPDATE t")
+				Eventually(func() int { return b.server.Waiting() }).Should(Equal(1))
+				return done
+			}),
+		)
+	})
+})
+
+var _ = Describe("Promise 13: a drain interrupts no request", func() {
+	// Guards against requests cut off by a planned stop, and against a drain
+	// that never ends because of idle callers.
+	It("finishes transactions and then closes the sessions", func() {
+		b := newBench()
+		defer b.close()
+		idle, busy := b.connect(""), b.connect("&default_query_exec_mode=simple_protocol")
+		Expect(exec(busy, "BEGIN")).To(BeEmpty())
+		done := make(chan error)
+		go func() { done <- b.server.Drain(ctx()) }()
+		Eventually(b.server.Sessions).Should(Equal(1))
+		Expect(exec(idle, "SELECT 1")).To(Equal("57P01"))
+		Expect(exec(busy, insert)).To(BeEmpty())
+		Expect(exec(busy, "COMMIT")).To(BeEmpty())
+		Expect(<-done).To(Succeed())
+		_, err := pgx.Connect(ctx(), b.dsn("k1", keySecret, "orders", ""))
+		Expect(err).To(HaveOccurred())
+		Expect(b.primary.count("COMMIT")).To(Equal(1))
+	})
+
+	// Guards against a request that is cut off although it was sent before its
+	// session was closed.
+	It("answers every request that was sent", func() {
+		b := newBench()
+		defer b.close()
+		b.primary.inject(func(_ *fakeConn, sql string) (answers, bool) {
+			if strings.HasPrefix(sql, "INSERT") {
+				time.Sleep(100 * time.Millisecond)
+			}
+			return nil, false
+		})
+		c := b.dialRaw()
+		defer c.net.Close()
+		c.Send(query(insert))
+		c.Send(&pgproto3.Query{String: "SELECT 1"})
+		Expect(c.Flush()).To(Succeed())
+		Eventually(func() int { return b.primary.count("INSERT") }).Should(Equal(1))
+		go func() { _ = b.server.Drain(ctx()) }()
+		Expect(c.untilReady()).To(Equal("INSERT 0 1 I"))
+		Expect(c.untilReady()).To(Equal("columns row SELECT 1 I"))
+		Expect(c.untilReady()).To(Equal("57P01 end"))
+	})
+})
--- a/internal/frontend/route.go
+++ b/internal/frontend/route.go
@@ -93,7 +93,7 @@
 	}
 	left := a.deadline.Sub(now)
 	if left <= 0 {
-		return &sqlError{"57P03", "not run: no primary became available in time"}
+		return noPrimaryInTime()
 	}
 	a.failures, a.fallback = 0, false
 	if a.changed == nil {
@@ -114,6 +114,10 @@
 	return nil
 }
 
+func noPrimaryInTime() *sqlError {
+	return &sqlError{"57P03", "not run: no primary became available in time"}
+}
+
 func (s *session) leaveQueue(a *attempt) {
 	if a.held > 0 {
 		s.srv.hold.leave(a.held)
@@ -129,13 +133,16 @@
 	in.MaxStaleness = s.st.maxStaleness
 	in.Fallback = a.fallback
 	in.Roamed = s.st.sessionID != "" && in.Position.IsZero()
+	in.FallbackAllowed = true
 	s.fillCandidates(a)
-	for i := range in.Candidates {
-		if c := &in.Candidates[i]; c.Primary {
-			in.FallbackAllowed = s.srv.fallbacks.allowed(c.Instance, s.srv.pools.Limit(c.Instance))
+	d := routing.Decide(in, s.srv.policy)
+	if d.Fallback {
+		primary := in.Candidates[d.Target].Instance
+		if !s.srv.fallbacks.take(primary, s.srv.pools.Limit(primary)) {
+			in.FallbackAllowed = false
+			d = routing.Decide(in, s.srv.policy)
 		}
 	}
-	d := routing.Decide(in, s.srv.policy)
 	instance := ""
 	if d.Target != routing.None {
 		instance = in.Candidates[d.Target].Instance
@@ -190,16 +197,15 @@
 		return verdictWait
 	}
 	target := &s.input.Candidates[d.Target]
+	if d.Fallback {
+		s.srv.metrics.fallbacks.Inc(1)
+		defer s.srv.fallbacks.give(target.Instance)
+	}
 	c, err := s.acquire(a, target)
 	if err != nil {
 		return s.acquireFailed(a, target, err)
 	}
 	s.setRunning(c, a.write)
-	if d.Fallback {
-		s.srv.metrics.fallbacks.Inc(1)
-		s.srv.fallbacks.add(target.Instance, 1)
-		defer s.srv.fallbacks.add(target.Instance, -1)
-	}
 	if v, ok := s.setParameters(a, c); !ok {
 		return v
 	}
@@ -244,6 +250,9 @@
 		return verdictAgain
 	}
 	s.count(a.plan, endedNotRun)
+	if a.held > 0 {
+		return s.finished(s.refuse(noPrimaryInTime(), a.plan.synced))
+	}
 	return s.finished(s.refuse(&sqlError{"53300", "not run: " + strings.TrimSuffix(err.Error(), ": "+outcome.ErrNotRun.Error())}, a.plan.synced))
 }
 
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -181,6 +181,13 @@
 	return len(s.sessions)
 }
 
+// Waiting returns the number of requests that wait for a primary.
+func (s *Server) Waiting() int {
+	s.hold.mu.Lock()
+	defer s.hold.mu.Unlock()
+	return s.hold.requests
+}
+
 // Drain stops accepting callers and closes each session at a transaction
 // boundary once it is idle. It returns when all sessions have ended, or with
 // the error of ctx after closing the sessions that were left.
--- a/internal/frontend/suite_test.go
+++ b/internal/frontend/suite_test.go
@@ -29,7 +29,7 @@
 	os.Exit(m.Run())
 }
 
-func TestFrontend(t *testing.T) {
+func TestPromisesOfFrontend(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "frontend")
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -168,19 +168,16 @@
 	return policy.Pick(in.Candidates, in.eligible)
 }
 
-// decideFallback reads from the primary, within the limit, or waits on the
-// replica that is furthest ahead.
+// decideFallback reads from the primary, within the limit if replicas are only
+// behind, or waits on the replica that is furthest ahead.
 func decideFallback(in *Input, primary int, check Check) Decision {
-	replicas := replicasLeft(in.Candidates)
-	if primary != None && (in.FallbackAllowed || !replicas) {
+	behind := in.Fallback || replicasLeft(in.Candidates)
+	if primary != None && (in.FallbackAllowed || !behind) {
 		reason := ReasonFallback
-		if !replicas {
+		if !behind {
 			reason = ReasonNoReplica
 		}
-		return Decision{Target: primary, Check: check, Fallback: replicas, Reason: reason}
-	}
-	if !replicas {
-		return Decision{Target: None, Reason: ReasonNothingInReach}
+		return Decision{Target: primary, Check: check, Fallback: behind, Reason: reason}
 	}
 	best := None
 	for i := range in.Candidates {
@@ -192,6 +189,9 @@
 			best = i
 		}
 	}
+	if best == None {
+		return Decision{Target: None, Reason: ReasonNothingInReach}
+	}
 	return Decision{Target: best, Check: check, Reason: ReasonFallbackLimit}
 }
 
