Wake only the waiters whose condition holds

Every change of state woke all waiting goroutines of an instance, so commits that wait for replication cost a wake-up per waiter and commit. Conditions are now evaluated where the state changes.

--- a/internal/backend/standin/instance.go
+++ b/internal/backend/standin/instance.go
@@ -79,7 +79,7 @@
 	applyMu sync.Mutex // held while log entries are applied or dropped
 
 	mu       sync.Mutex
-	changed  chan struct{} // closed and replaced when the state below changes
+	waiters  []*waiter // woken when the state below fits
 	state    state
 	db       *database // serves reads; holds the entries up to state.applied
 	writer   *writer   // primaries only
@@ -120,7 +120,6 @@
 		cfg:      cfg,
 		log:      cfg.Logger,
 		switches: newSwitches(cfg.Settings),
-		changed:  make(chan struct{}),
 		sessions: map[uint32]*session{},
 		counts:   map[connectionClass]int{},
 	}
--- a/internal/backend/standin/state.go
+++ b/internal/backend/standin/state.go
@@ -92,29 +92,57 @@
 	s.history = slices.DeleteFunc(slices.Clone(s.history), func(f position.Fork) bool { return f.Start >= lsn })
 }
 
-// broadcastLocked wakes everything that waits for a change of state.
+// waiter waits until done reports true or fails. done runs with the state
+// locked.
+type waiter struct {
+	done  func() (bool, error)
+	err   error
+	ready chan struct{}
+}
+
+// broadcastLocked wakes what waits for the present state. The conditions are
+// evaluated here rather than by the waiting goroutines, because waking every
+// one of them at each change cost more than the statements themselves.
 func (i *Instance) broadcastLocked() {
-	close(i.changed)
-	i.changed = make(chan struct{})
+	kept := i.waiters[:0]
+	for _, w := range i.waiters {
+		ok, err := w.done()
+		if !ok && err == nil {
+			kept = append(kept, w)
+			continue
+		}
+		w.err = err
+		close(w.ready)
+	}
+	clear(i.waiters[len(kept):])
+	i.waiters = kept
 }
 
 // await waits until done reports true or fails. done runs with the state
 // locked, at once and after every change.
 func (i *Instance) await(ctx context.Context, done func() (bool, error)) error {
-	for {
-		i.mu.Lock()
-		ok, err := done()
-		wake := i.changed
+	i.mu.Lock()
+	ok, err := done()
+	if ok || err != nil {
 		i.mu.Unlock()
-		if ok || err != nil {
-			return err
-		}
-		select {
-		case <-wake:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+		return err
+	}
+	w := &waiter{done: done, ready: make(chan struct{})}
+	i.waiters = append(i.waiters, w)
+	i.mu.Unlock()
+	select {
+	case <-w.ready:
+		return w.err
+	case <-ctx.Done():
 	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	k := slices.Index(i.waiters, w)
+	if k < 0 {
+		return w.err
+	}
+	i.waiters = slices.Delete(i.waiters, k, k+1)
+	return ctx.Err()
 }
 
 func (i *Instance) setRoleLocked(role backend.Role) {
@@ -144,47 +172,36 @@
 func (i *Instance) applyLoop() {
 	defer i.wg.Done()
 	for {
-		wait := i.nextApply()
-		if wait == 0 {
-			if i.switches.pass(i.ctx, noPeer) != nil {
-				return
+		due := time.Time{}
+		err := i.await(i.ctx, func() (bool, error) {
+			st := &i.state
+			if st.applied >= st.end() || st.role == backend.RolePrimary {
+				return false, nil
 			}
-			i.applyNext()
-			continue
+			due = st.entries[st.applied].received
+			return true, nil
+		})
+		if err != nil || i.switches.pass(i.ctx, noPeer) != nil {
+			return
 		}
-		i.mu.Lock()
-		wake := i.changed
-		i.mu.Unlock()
-		if i.nextApply() == 0 {
+		wake := i.switches.wakeup()
+		wait := time.Until(due.Add(time.Duration(i.switches.get().Lag)))
+		if wait <= 0 {
+			i.applyNext()
 			continue
 		}
-		timer := time.NewTimer(wait)
+		timer := time.NewTimer(min(wait, maxApplyWait))
 		select {
 		case <-wake:
-		case <-i.switches.wakeup():
 		case <-timer.C:
 		case <-i.ctx.Done():
-			timer.Stop()
-			return
 		}
 		timer.Stop()
 	}
 }
 
-// idleWait bounds a sleep of the apply loop with nothing to apply.
-const idleWait = time.Second
-
-// nextApply returns the time until the next entry is due, 0 if it is now.
-func (i *Instance) nextApply() time.Duration {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	st := &i.state
-	if st.applied >= st.end() || st.role == backend.RolePrimary {
-		return idleWait
-	}
-	due := st.entries[st.applied].received.Add(time.Duration(i.switches.get().Lag))
-	return max(0, time.Until(due))
-}
+// maxApplyWait bounds a wait for the lag, during which the log may change.
+const maxApplyWait = time.Second
 
 // applyNext applies the entry after the applied position, if there is one.
 func (i *Instance) applyNext() {
