--- a/internal/backend/standin/execute.go
+++ b/internal/backend/standin/execute.go
@@ -16,6 +16,10 @@
 	if err := s.mayRun(st); err != nil {
 		return err
 	}
+	// A statement whose bytes arrived before a freeze waits for the thaw.
+	if err := s.inst.switches.pass(s.ctx, noPeer); err != nil {
+		return err
+	}
 	s.tx.open = true
 	err := s.runKind(p)
 	s.record(p, err)
--- a/internal/backend/standin/functions.go
+++ b/internal/backend/standin/functions.go
@@ -62,13 +62,6 @@
 		n, _ := strconv.Atoi(t.text[1:])
 		args[i] = p.args[n-1].Value
 	}
-	if s.class == classControl {
-		// Control functions wait for the thaw even if their bytes arrived
-		// before the freeze.
-		if err := s.inst.switches.pass(s.ctx, noPeer); err != nil {
-			return err
-		}
-	}
 	v, err := f.run(s, args)
 	if err != nil {
 		return err
--- a/internal/backend/standin/instance.go
+++ b/internal/backend/standin/instance.go
@@ -308,7 +308,9 @@
 	}
 	i.connMu.Lock()
 	defer i.connMu.Unlock()
-	if limit > 0 && i.counts[class] >= limit {
+	admitted := limit == 0 || i.counts[class] < limit
+	i.recorder.countConnection(admitted)
+	if !admitted {
 		return fatalf(backend.SQLStateTooManyConnections, "sorry, too many clients already: limit %d", limit)
 	}
 	i.counts[class]++
--- a/internal/backend/standin/majority.go
+++ b/internal/backend/standin/majority.go
@@ -62,6 +62,16 @@
 	return true
 }
 
+// restartPeer notes where a replica's log ends when it connects; it is lower
+// than what was acknowledged if the replica lost its data.
+func (i *Instance) restartPeer(instance string, received position.LSN) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if p := i.state.peers[instance]; p != nil {
+		p.received = min(p.received, received)
+	}
+}
+
 // beginPingLocked asks all replicas to acknowledge the term; the returned
 // number is confirmed once a majority has.
 func (i *Instance) beginPingLocked() uint64 {
--- a/internal/backend/standin/primarystream.go
+++ b/internal/backend/standin/primarystream.go
@@ -59,6 +59,7 @@
 	if p.sent, err = p.readStart(ours.End); err != nil {
 		return err
 	}
+	i.restartPeer(p.instance, p.sent)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/backend/standin/recorder.go
+++ b/internal/backend/standin/recorder.go
@@ -22,13 +22,42 @@
 	limit int
 	ring  []Executed
 	next  int
-	total uint64
+
+	counters Counters
+}
+
+// Counters count what an instance did since New.
+type Counters struct {
+	// Statements that ran or were refused.
+	Statements uint64
+	// Connections that were admitted.
+	Connections uint64
+	// RefusedConnections were above a limit.
+	RefusedConnections uint64
+}
+
+// Counters returns the present counts.
+func (i *Instance) Counters() Counters {
+	i.recorder.mu.Lock()
+	defer i.recorder.mu.Unlock()
+	return i.recorder.counters
+}
+
+// countConnection counts a connection that was admitted or refused.
+func (r *recorder) countConnection(admitted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if admitted {
+		r.counters.Connections++
+	} else {
+		r.counters.RefusedConnections++
+	}
 }
 
 func (r *recorder) add(e Executed) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.total++
+	r.counters.Statements++
 	if r.limit < 0 {
 		return
 	}
@@ -51,14 +80,7 @@
 	return append(out, r.ring[:r.next]...)
 }
 
-// ExecutedCount returns the number of all statements since the start.
-func (i *Instance) ExecutedCount() uint64 {
-	i.recorder.mu.Lock()
-	defer i.recorder.mu.Unlock()
-	return i.recorder.total
-}
-
-// ForgetExecuted empties the list of statements; the count stays.
+// ForgetExecuted empties the list of statements; the counters stay.
 func (i *Instance) ForgetExecuted() {
 	i.recorder.mu.Lock()
 	defer i.recorder.mu.Unlock()
--- a/internal/backend/standin/session.go
+++ b/internal/backend/standin/session.go
@@ -316,9 +316,12 @@
 
 // begin starts the cancellable part of a statement.
 func (s *session) begin() (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(s.ctx)
+	var ctx context.Context
+	var cancel context.CancelFunc
 	if limit := s.statementTimeout(); limit > 0 {
 		ctx, cancel = context.WithTimeout(s.ctx, limit)
+	} else {
+		ctx, cancel = context.WithCancel(s.ctx)
 	}
 	s.cancelMu.Lock()
 	s.cancel = cancel
