--- a/internal/backend/standin/instance.go
+++ b/internal/backend/standin/instance.go
@@ -79,7 +79,7 @@
 	applyMu sync.Mutex // held while log entries are applied or dropped
 
 	mu       sync.Mutex
-	changed  chan struct{} // closed and replaced when the state below changes
+	waiters  []*waiter // woken when the state below fits
 	state    state
 	db       *database // serves reads; holds the entries up to state.applied
 	writer   *writer   // primaries only
@@ -120,7 +120,6 @@
 		cfg:      cfg,
 		log:      cfg.Logger,
 		switches: newSwitches(cfg.Settings),
-		changed:  make(chan struct{}),
 		sessions: map[uint32]*session{},
 		counts:   map[connectionClass]int{},
 	}
@@ -309,7 +308,9 @@
 	}
 	i.connMu.Lock()
 	defer i.connMu.Unlock()
-	if limit > 0 && i.counts[class] >= limit {
+	admitted := limit == 0 || i.counts[class] < limit
+	i.recorder.countConnection(admitted)
+	if !admitted {
 		return fatalf(backend.SQLStateTooManyConnections, "sorry, too many clients already: limit %d", limit)
 	}
 	i.counts[class]++
