Add failover: prober, coordinator and runner

No other component orders a promotion, so a group whose primary fails stays without one. The coordinator core decides on probes from the failure domains, raises the term on a majority, promotes the longest log of that majority and makes the others follow. The runner drives the cores from records, buckets and members, serves the Failover service and keeps topology.Table current.

--- /dev/null
+++ b/internal/failover/runner.go
@@ -0,0 +1,450 @@
+package failover
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/backend"
+	"github.com/bramleylever/bramleylever/internal/control"
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/membership"
+	"github.com/bramleylever/bramleylever/internal/peer"
+	"github.com/bramleylever/bramleylever/internal/records"
+	"github.com/bramleylever/bramleylever/internal/topology"
+)
+
+const (
+	// tickInterval is the resolution of the cores' timers.
+	tickInterval = 10 * time.Millisecond
+	// idleTick spaces the ticks of coordinators with nothing under way.
+	idleTick = 100 * time.Millisecond
+	// refreshInterval is how often buckets, members and records are read.
+	refreshInterval = 100 * time.Millisecond
+	// mailboxSize absorbs the answers that arrive during one step of the loop;
+	// senders wait when it is full.
+	mailboxSize = 1024
+)
+
+// Options are what a Runner works with. Peers may be nil for a host without
+// peers; all other pointers and interfaces are required.
+type Options struct {
+	Self     peer.Identity
+	Feed     *records.Feed
+	Buckets  control.Buckets
+	Dialer   backend.Dialer
+	Topology *topology.Table
+	View     membership.View
+	Peers    *peer.Pool
+	Log      *zap.Logger
+	// Metrics may be nil.
+	Metrics metrics.Registry
+	// SingleDomain lets the suspicion of one failure domain trigger a
+	// promotion, for deployments whose hosts are all in one.
+	SingleDomain bool
+	// Claims, if set, is called with the buckets that this host coordinates
+	// whenever they change, including those whose lease lapsed in an outage of
+	// the platform. It must not block.
+	Claims func([]membership.BucketClaim)
+}
+
+// Runner owns the timers and connections of the failover cores of a host: the
+// probers of the databases that fall to it and the coordinators of the buckets
+// that it holds. One control epoch must be used by one Runner only.
+type Runner struct {
+	peerv1.UnimplementedFailoverServer
+
+	o       Options
+	mailbox chan func(now time.Time)
+	done    chan struct{}
+	probes  *controlConns
+	control *controlConns
+	// ctx ends with Run; served calls start their work in it.
+	ctx       context.Context
+	cancel    context.CancelFunc
+	fetchedAt atomic.Pointer[time.Time]
+
+	// The loop owns what follows.
+	epochs      Epochs
+	databases   map[string]*database
+	members     []membership.Member
+	domains     map[string]bool
+	liveHosts   []string
+	revision    int64
+	claims      []membership.BucketClaim
+	refreshedAt time.Time
+	waiting     map[uint64]chan SwitchoverDone
+	lastRequest uint64
+}
+
+// database is what the loop keeps for each database of the snapshot.
+type database struct {
+	name        string
+	bucket      uint32
+	instances   []Instance
+	prober      *Prober
+	coordinator *Coordinator
+	tickAt      time.Time
+	// reporting is set while a report is on its way to another host.
+	reporting bool
+}
+
+// NewRunner returns a runner; Run starts it.
+func NewRunner(o Options) *Runner {
+	if o.Metrics == nil {
+		o.Metrics = metrics.NewRegistry()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Runner{
+		o:         o,
+		ctx:       ctx,
+		cancel:    cancel,
+		mailbox:   make(chan func(time.Time), mailboxSize),
+		done:      make(chan struct{}),
+		probes:    newControlConns(o.Dialer),
+		control:   newControlConns(o.Dialer),
+		databases: map[string]*database{},
+		waiting:   map[uint64]chan SwitchoverDone{},
+		revision:  -1,
+	}
+}
+
+// Run works until ctx ends. It must be called once.
+func (r *Runner) Run(ctx context.Context) error {
+	defer close(r.done)
+	defer r.cancel()
+	defer r.probes.keep(nil)
+	defer r.control.keep(nil)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	r.tick(ctx, time.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case run := <-r.mailbox:
+			run(time.Now())
+		case <-ticker.C:
+			r.tick(ctx, time.Now())
+		}
+	}
+}
+
+// post runs f in the loop; it reports false once the loop has ended.
+func (r *Runner) post(f func(now time.Time)) bool {
+	select {
+	case r.mailbox <- f:
+		return true
+	case <-r.done:
+		return false
+	}
+}
+
+func (r *Runner) tick(ctx context.Context, now time.Time) {
+	if now.Sub(r.refreshedAt) >= refreshInterval {
+		r.refreshedAt = now
+		r.refresh(ctx, now)
+	}
+	for _, d := range r.databases {
+		if d.prober != nil {
+			r.tickProber(ctx, now, d)
+		}
+		if d.coordinator != nil && (d.coordinator.Busy() || !now.Before(d.tickAt)) {
+			d.tickAt = now.Add(idleTick)
+			r.step(ctx, now, d, Tick{})
+		}
+	}
+}
+
+// refresh reads the records, the members and the buckets.
+func (r *Runner) refresh(ctx context.Context, now time.Time) {
+	snapshot := r.o.Feed.Current()
+	r.members = r.o.View.Members()
+	hosts := r.liveHostNames()
+	domains := r.knownDomains(snapshot)
+	if snapshot.Revision != r.revision || !slices.Equal(hosts, r.liveHosts) || !maps.Equal(domains, r.domains) {
+		r.revision = snapshot.Revision
+		r.liveHosts = hosts
+		r.domains = domains
+		r.configure(ctx, now, snapshot)
+	}
+	r.refreshEpochs()
+	for _, d := range r.databases {
+		r.lead(ctx, now, d)
+	}
+	r.publishClaims()
+}
+
+func (r *Runner) liveHostNames() []string {
+	var hosts []string
+	for _, m := range r.members {
+		if m.Domain == r.o.Self.Domain && m.State == membership.StateAlive && !m.Draining {
+			hosts = append(hosts, m.Host)
+		}
+	}
+	return hosts
+}
+
+// knownDomains lists the failure domains of the deployment. Members that are
+// dead count too, so that a domain that is cut off does not take itself for
+// the only one.
+func (r *Runner) knownDomains(s *records.Snapshot) map[string]bool {
+	domains := map[string]bool{r.o.Self.Domain: true}
+	for _, m := range r.members {
+		domains[m.Domain] = true
+	}
+	for domain := range s.Domains {
+		domains[domain] = true
+	}
+	for _, db := range s.Databases {
+		for _, in := range db.Instances {
+			domains[in.Domain] = true
+		}
+	}
+	return domains
+}
+
+// configure takes over the databases of a snapshot.
+func (r *Runner) configure(ctx context.Context, now time.Time, s *records.Snapshot) {
+	for name := range r.databases {
+		if _, ok := s.Databases[name]; !ok {
+			delete(r.databases, name)
+		}
+	}
+	for name, record := range s.Databases {
+		d, ok := r.databases[name]
+		if !ok {
+			d = &database{name: name, bucket: control.Bucket("database", name)}
+			r.databases[name] = d
+		}
+		d.instances = instancesOf(s, record)
+		r.assignProber(now, d)
+		if d.coordinator != nil {
+			r.step(ctx, now, d, r.configureEvent(d))
+		}
+	}
+	r.closeUnused()
+}
+
+func instancesOf(s *records.Snapshot, db records.Database) []Instance {
+	instances := make([]Instance, 0, len(db.Instances))
+	for _, in := range db.Instances {
+		instances = append(instances, Instance{
+			Name:    in.Name,
+			Address: in.Address,
+			Domain:  in.Domain,
+			Leaving: s.InstanceLeaving(in),
+		})
+	}
+	return instances
+}
+
+func (r *Runner) configureEvent(d *database) Configure {
+	domains := len(r.domains)
+	if r.o.SingleDomain {
+		domains = 1
+	}
+	return Configure{Instances: d.instances, Domains: domains}
+}
+
+func (r *Runner) assignProber(now time.Time, d *database) {
+	if ProberOf(r.liveHosts, d.name) != r.o.Self.Host {
+		d.prober = nil
+		return
+	}
+	if d.prober == nil {
+		d.prober = NewProber()
+	}
+	d.prober.Configure(now, d.instances)
+}
+
+// closeUnused closes control connections that no prober or coordinator needs.
+func (r *Runner) closeUnused() {
+	probed, controlled := map[string]bool{}, map[string]bool{}
+	for _, d := range r.databases {
+		for _, in := range d.instances {
+			if d.prober != nil {
+				probed[in.Address] = true
+			}
+			if d.coordinator != nil && d.coordinator.Epoch() != 0 {
+				controlled[in.Address] = true
+			}
+		}
+	}
+	r.probes.keep(probed)
+	r.control.keep(controlled)
+}
+
+// memberList is a membership.View of members that were read once.
+type memberList struct {
+	membership.View
+	members []membership.Member
+}
+
+func (l memberList) Members() []membership.Member { return l.members }
+
+// holder returns the live member that claims a bucket in the highest epoch.
+func (r *Runner) holder(bucket uint32) (membership.Member, uint64, bool) {
+	return membership.BucketHolder(memberList{members: r.members}, bucket)
+}
+
+// refreshEpochs finds the buckets that this host coordinates.
+func (r *Runner) refreshEpochs() {
+	draining := r.o.View.Self().Draining
+	for bucket := range uint32(control.BucketCount) {
+		epoch, held := r.o.Buckets.Held(bucket)
+		r.epochs.Held(bucket, epoch, held)
+		if draining && !held {
+			r.epochs.End(bucket)
+		}
+		if m, claimed, ok := r.holder(bucket); ok && m.Host != r.o.Self.Host {
+			r.epochs.Seen(bucket, claimed)
+		}
+	}
+}
+
+func (r *Runner) publishClaims() {
+	claims := r.epochs.Claims()
+	if slices.Equal(claims, r.claims) {
+		return
+	}
+	r.claims = claims
+	if r.o.Claims != nil {
+		r.o.Claims(slices.Clone(claims))
+	}
+}
+
+// lead starts or ends the coordinator of a database.
+func (r *Runner) lead(ctx context.Context, now time.Time, d *database) {
+	epoch, lapsed := r.epochs.Epoch(d.bucket)
+	if epoch == 0 {
+		if d.coordinator != nil && d.coordinator.Epoch() != 0 {
+			r.step(ctx, now, d, Yield{Epoch: d.coordinator.Epoch(), Reason: "bucket handed back or held in a higher epoch"})
+		}
+		return
+	}
+	if d.coordinator == nil {
+		d.coordinator = NewCoordinator(d.name)
+		r.step(ctx, now, d, r.configureEvent(d))
+	}
+	if g, ok := r.o.Topology.Group(d.name); ok {
+		r.step(ctx, now, d, Known{Group: g})
+	}
+	r.step(ctx, now, d, Lead{Epoch: epoch})
+	if lapsed && d.coordinator.Epoch() == 0 {
+		// An instance is in a higher epoch, so the bucket has a new holder.
+		r.epochs.End(d.bucket)
+	}
+}
+
+func (r *Runner) tickProber(ctx context.Context, now time.Time, d *database) {
+	prober := d.prober
+	calls, report := prober.Tick(now)
+	for _, call := range calls {
+		go func() {
+			started := time.Now()
+			status, err := r.probes.execute(ctx, Call{
+				Kind:     CallStatus,
+				Instance: call.Instance,
+				Address:  call.Address,
+				Timeout:  ProbeTimeout,
+			})
+			r.post(func(time.Time) { prober.Result(started, call, status, err) })
+		}()
+	}
+	if report == nil {
+		return
+	}
+	if primary, term, ok := highestPrimary(report); ok {
+		r.update(topology.Group{Database: d.name, Term: term, Primary: primary})
+	}
+	r.deliver(ctx, now, d, report)
+}
+
+// update records a primary in the table of this host.
+func (r *Runner) update(g topology.Group) bool {
+	if !r.o.Topology.Update(g) {
+		return false
+	}
+	r.o.Log.Info("topology changed",
+		zap.String(logging.FieldDecision, "topology"),
+		zap.String(logging.FieldDatabase, g.Database),
+		zap.String(logging.FieldInstance, g.Primary),
+		zap.Stringer(logging.FieldTerm, g.Term))
+	return true
+}
+
+// step runs a coordinator and carries its actions out.
+func (r *Runner) step(ctx context.Context, now time.Time, d *database, e Event) {
+	for _, action := range d.coordinator.Step(now, e) {
+		switch a := action.(type) {
+		case Call:
+			go r.execute(ctx, d, a)
+		case Announce:
+			r.update(a.Group)
+			go r.push(ctx, r.members, []topology.Group{a.Group})
+		case Decision:
+			r.logDecision(d.name, a)
+		case SwitchoverDone:
+			if reply, ok := r.waiting[a.ID]; ok {
+				delete(r.waiting, a.ID)
+				reply <- a
+			}
+		}
+	}
+}
+
+func (r *Runner) execute(ctx context.Context, d *database, call Call) {
+	status, err := r.control.execute(ctx, call)
+	r.post(func(now time.Time) {
+		r.step(ctx, now, d, Answer{Call: call.ID, Status: status, Err: err})
+	})
+}
+
+func (r *Runner) logDecision(database string, a Decision) {
+	metrics.GetOrRegisterCounter("failover.decisions_"+a.Decision+"_count", r.o.Metrics).Inc(1)
+	r.o.Log.Info("failover decision",
+		zap.String(logging.FieldDecision, a.Decision),
+		zap.String(logging.FieldDatabase, database),
+		zap.String(logging.FieldInstance, a.Instance),
+		zap.Stringer(logging.FieldTerm, a.Term),
+		zap.String(logging.FieldReason, a.Reason))
+}
+
+// ErrStopped is returned once the runner has ended.
+var ErrStopped = errors.New("failover runner stopped")
+
+// localSwitchover asks this host's coordinator for a planned change of
+// primary.
+func (r *Runner) localSwitchover(ctx context.Context, name, target string) (SwitchoverDone, error) {
+	reply := make(chan SwitchoverDone, 1)
+	ok := r.post(func(now time.Time) {
+		d, ok := r.databases[name]
+		if !ok || d.coordinator == nil {
+			reply <- SwitchoverDone{Reason: fmt.Sprintf("this host does not coordinate database %q", name)}
+			return
+		}
+		r.lastRequest++
+		r.waiting[r.lastRequest] = reply
+		r.step(ctx, now, d, SwitchoverRequest{ID: r.lastRequest, Target: target})
+	})
+	if !ok {
+		return SwitchoverDone{}, ErrStopped
+	}
+	select {
+	case done := <-reply:
+		return done, nil
+	case <-ctx.Done():
+		return SwitchoverDone{}, fmt.Errorf("switchover of database %s: %w", name, ctx.Err())
+	case <-r.done:
+		return SwitchoverDone{}, ErrStopped
+	}
+}
