Elect relays and holders of control buckets

Cause: control duties need holders that the store agrees on, at a store load that does not grow with the fleet. Change: an elector holds a relay's place and buckets on one lease. Traffic between proxies is counted on the gRPC server.

--- /dev/null
+++ b/internal/control/elector_test.go
@@ -0,0 +1,232 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/control"
+	"github.com/bramleylever/bramleylever/internal/membership"
+	"github.com/bramleylever/bramleylever/internal/peer"
+	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/platform/standin"
+)
+
+func TestControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "control")
+}
+
+const patience = 20 * time.Second
+
+// fleet is a member table that all its hosts see at once.
+type fleet struct {
+	mu    sync.Mutex
+	hosts map[string]*host
+}
+
+// host is one elector with a clock that can be moved ahead, as it appears to a
+// process that was paused.
+type host struct {
+	fleet   *fleet
+	name    string
+	domain  string
+	elector *control.Elector
+	stop    context.CancelFunc
+	done    chan struct{}
+	mu      sync.Mutex
+	ahead   time.Duration
+}
+
+func (h *host) now() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Now().Add(h.ahead)
+}
+
+func (h *host) pause(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ahead += d
+}
+
+func (h *host) Self() membership.Member {
+	return membership.Member{Host: h.name, Domain: h.domain, State: membership.StateAlive}
+}
+
+func (h *host) Members() []membership.Member {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	var members []membership.Member
+	for _, other := range h.fleet.hosts {
+		m := other.Self()
+		if other.elector != nil {
+			m.Relay = other.elector.Relay()
+			m.Buckets = other.elector.Claims()
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
+func (f *fleet) start(server *standin.Server, name, domain string) *host {
+	store, err := platform.Dial(context.Background(), platform.Options{
+		Endpoints:    []string{server.Address()},
+		LocalAddress: fmt.Sprintf("127.0.9.%d", len(f.hosts)+1),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(store.Close)
+	h := &host{fleet: f, name: name, domain: domain, done: make(chan struct{})}
+	elector := control.NewElector(control.Options{
+		Self:  peer.Identity{Host: name, Domain: domain},
+		Store: store,
+		View:  h,
+		Log:   zap.NewNop(),
+		Now:   h.now,
+		Seed:  uint64(len(f.hosts)),
+	})
+	f.mu.Lock()
+	h.elector = elector
+	f.hosts[name] = h
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	h.stop = cancel
+	go func() {
+		defer close(h.done)
+		_ = elector.Run(ctx)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		<-h.done
+	})
+	return h
+}
+
+// held returns the holders and the epoch of each bucket that is held.
+func (f *fleet) held() (holders map[uint32][]string, epochs map[uint32]uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	holders, epochs = map[uint32][]string{}, map[uint32]uint64{}
+	for name, h := range f.hosts {
+		for _, claim := range h.elector.Claims() {
+			holders[claim.Bucket] = append(holders[claim.Bucket], name)
+			epochs[claim.Bucket] = claim.Epoch
+		}
+	}
+	return holders, epochs
+}
+
+func (f *fleet) allHeld() bool {
+	holders, _ := f.held()
+	return len(holders) == control.BucketCount
+}
+
+var _ = Describe("Elector", func() {
+	var (
+		server *standin.Server
+		f      *fleet
+	)
+
+	BeforeEach(func() {
+		var err error
+		server, err = standin.Start("127.0.0.1:0", standin.Options{})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		f = &fleet{hosts: map[string]*host{}}
+	})
+
+	// Guards against duties that nobody takes, or that two hosts take.
+	It("gives each bucket to one relay and moves it with a higher epoch", func() {
+		first := f.start(server, "h1", "a")
+		f.start(server, "h2", "a")
+		f.start(server, "h3", "b")
+		Eventually(f.allHeld, patience).Should(BeTrue())
+		holders, before := f.held()
+		for bucket, names := range holders {
+			Expect(names).To(HaveLen(1), "bucket %d", bucket)
+		}
+		lost := first.elector.Claims()
+		first.stop()
+		<-first.done
+		Expect(first.elector.Claims()).To(BeEmpty())
+		Eventually(f.allHeld, patience).Should(BeTrue())
+		_, after := f.held()
+		for _, claim := range lost {
+			Expect(after[claim.Bucket]).To(BeNumerically(">", before[claim.Bucket]))
+		}
+	})
+
+	// Guards against a holder that was paused past its lease and still acts.
+	It("holds nothing once its own clock passed the lease", func() {
+		h := f.start(server, "h1", "a")
+		Eventually(f.allHeld, patience).Should(BeTrue())
+		h.pause(time.Minute)
+		_, ok := h.elector.Held(0)
+		Expect(ok).To(BeFalse())
+		Expect(h.elector.Relay()).To(BeFalse())
+	})
+
+	// Guards against duties that stay vacant after an outage of the store, or
+	// that are lost with an answer.
+	DescribeTable("holds all buckets again after", func(disturb, restore func(*standin.Server)) {
+		f.start(server, "h1", "a")
+		f.start(server, "h2", "b")
+		disturb(server)
+		time.Sleep(100 * time.Millisecond)
+		restore(server)
+		Eventually(f.allHeld, patience).Should(BeTrue())
+	},
+		Entry("an outage at the start",
+			func(s *standin.Server) { s.SetDown(true) }, func(s *standin.Server) { s.SetDown(false) }),
+		Entry("answers lost after they took effect",
+			func(s *standin.Server) { s.LoseAnswers(6) }, func(*standin.Server) {}),
+	)
+
+	// Guards against store load that grows with the fleet.
+	It("costs store calls that do not depend on the number of hosts", func() {
+		for n := range 12 {
+			f.start(server, fmt.Sprintf("h%d", n), "a")
+		}
+		Eventually(f.allHeld, patience).Should(BeTrue())
+		Eventually(func() int {
+			relays := 0
+			for _, h := range f.hosts {
+				if h.elector.Relay() {
+					relays++
+				}
+			}
+			return relays
+		}, patience).Should(Equal(control.RelaysPerDomain))
+		before := server.CallsByClient()
+		Eventually(func() int64 {
+			return server.Calls()[standin.CallKeepAlive]
+		}, patience).Should(BeNumerically(">", total(before, standin.CallKeepAlive)+4))
+		clients := 0
+		for client, calls := range server.CallsByClient() {
+			if total(map[string]map[standin.CallKind]int64{client: calls}, "") >
+				total(map[string]map[standin.CallKind]int64{client: before[client]}, "") {
+				clients++
+			}
+		}
+		Expect(clients).To(BeNumerically("<=", control.RelaysPerDomain))
+	})
+})
+
+// total adds up calls of one kind, or of all kinds if it is empty.
+func total(calls map[string]map[standin.CallKind]int64, kind standin.CallKind) int64 {
+	var sum int64
+	for _, kinds := range calls {
+		for k, count := range kinds {
+			if kind == "" || k == kind {
+				sum += count
+			}
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,79 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/stats"
+)
+
+// Server is the gRPC server on which the slices register their services.
+type Server struct {
+	*grpc.Server
+	listener net.Listener
+}
+
+// Listen opens the address for peers; port 0 lets the kernel choose. Serve must
+// be called after the services are registered.
+func Listen(address string, registry metrics.Registry) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	server := grpc.NewServer(
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.StatsHandler(NewTraffic(registry)),
+	)
+	return &Server{Server: server, listener: listener}, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve answers calls until Stop.
+func (s *Server) Serve() error { return s.Server.Serve(s.listener) }
+
+// Traffic counts the bytes of calls between proxies, as they are on the wire
+// without the framing of HTTP/2 and TCP.
+type Traffic struct {
+	received, sent, calls metrics.Counter
+}
+
+// NewTraffic registers its counters in a registry; a nil registry counts
+// nothing that is shown.
+func NewTraffic(registry metrics.Registry) *Traffic {
+	if registry == nil {
+		registry = metrics.NewRegistry()
+	}
+	return &Traffic{
+		received: metrics.GetOrRegisterCounter("peer.received_bytes", registry),
+		sent:     metrics.GetOrRegisterCounter("peer.sent_bytes", registry),
+		calls:    metrics.GetOrRegisterCounter("peer.calls_count", registry),
+	}
+}
+
+// TagRPC implements stats.Handler.
+func (t *Traffic) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+// HandleRPC implements stats.Handler.
+func (t *Traffic) HandleRPC(_ context.Context, s stats.RPCStats) {
+	switch s := s.(type) {
+	case *stats.Begin:
+		t.calls.Inc(1)
+	case *stats.InPayload:
+		t.received.Inc(int64(s.WireLength))
+	case *stats.InHeader:
+		t.received.Inc(int64(s.WireLength))
+	case *stats.OutPayload:
+		t.sent.Inc(int64(s.WireLength))
+	}
+}
+
+// TagConn implements stats.Handler.
+func (t *Traffic) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+// HandleConn implements stats.Handler.
+func (t *Traffic) HandleConn(context.Context, stats.ConnStats) {}
