--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,75 @@
+// Package keys creates callers' keys. A key is an id, which callers use as
+// their user name, and a secret, which they use as their password.
+//
+// Invariant: the secret appears only in the result of Generate; what is kept
+// is a SCRAM-SHA-256 verifier (RFC 5802, RFC 7677).
+package keys
+
+import (
+	"crypto/rand"
+	"encoding/base32"
+	"fmt"
+	"strings"
+
+	"github.com/xdg-go/scram"
+
+	"github.com/bramleylever/bramleylever/internal/records"
+)
+
+const (
+	// idBytes make collisions of ids unlikely for millions of keys.
+	idBytes = 10
+	// secretBytes give a secret the strength of the hash, so that few
+	// iterations are enough.
+	secretBytes = 32
+	saltBytes   = 16
+	// iterations is the least that RFC 7677 allows. More would cost each login
+	// time and add nothing to a random secret.
+	iterations = 4096
+)
+
+// Generated is a new key together with its secret, which is shown once.
+type Generated struct {
+	Key    records.Key
+	Secret string
+}
+
+// Generate creates a key of a client account.
+func Generate(account string) (Generated, error) {
+	secret := randomText(secretBytes)
+	key, err := Verifier("k"+randomText(idBytes), account, secret)
+	if err != nil {
+		return Generated{}, err
+	}
+	return Generated{Key: key, Secret: secret}, nil
+}
+
+// Verifier returns the record of a key with a given id and secret, with a new
+// salt.
+func Verifier(id, account, secret string) (records.Key, error) {
+	client, err := scram.SHA256.NewClient(id, secret, "")
+	if err != nil {
+		return records.Key{}, fmt.Errorf("key %q: prepare the secret: %w", id, err)
+	}
+	salt := make([]byte, saltBytes)
+	// rand.Read never returns an error.
+	_, _ = rand.Read(salt)
+	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: iterations})
+	if err != nil {
+		return records.Key{}, fmt.Errorf("key %q: derive the verifier: %w", id, err)
+	}
+	return records.Key{
+		ID:         id,
+		Account:    account,
+		Salt:       salt,
+		Iterations: iterations,
+		StoredKey:  stored.StoredKey,
+		ServerKey:  stored.ServerKey,
+	}, nil
+}
+
+func randomText(bytes int) string {
+	raw := make([]byte, bytes)
+	_, _ = rand.Read(raw)
+	return strings.ToLower(base32.StdEncoding.WithPadding(base32.NoPadding).EncodeToString(raw))
+}
