--- a/internal/backend/standin/errors.go
+++ b/internal/backend/standin/errors.go
@@ -91,6 +91,8 @@
 	{"no such savepoint", "3B001"},
 	{"already exists", "42P07"},
 	{"syntax error", stateSyntax},
+	{"values were supplied", stateSyntax},
+	{"values for", stateSyntax},
 	{"incomplete input", stateSyntax},
 	{"datatype mismatch", stateInvalidText},
 	{"integer overflow", "22003"},
--- a/internal/backend/standin/faults.go
+++ b/internal/backend/standin/faults.go
@@ -235,3 +235,10 @@
 		s.queue = s.queue[1:]
 	}
 }
+
+// RunningStatements returns how many data statements occupy a slot.
+func (i *Instance) RunningStatements() int {
+	i.slots.mu.Lock()
+	defer i.slots.mu.Unlock()
+	return i.slots.running
+}
