Keep deadlines of ended sessions in the past

Two places set a deadline without looking whether the session had been ended: the end of the login cleared it, and the relay renewed it. A key withdrawn at that moment left the session waiting for its caller or instance.

--- a/internal/frontend/outcome_test.go
+++ b/internal/frontend/outcome_test.go
@@ -58,7 +58,10 @@
 		}),
 		Entry("no connection free", "53300", "orders", insert, func(b *bench) {
 			for range 4 {
-				Expect(exec(b.connect(""), "BEGIN")).To(BeEmpty())
+				conn := b.connect("")
+				Expect(exec(conn, "BEGIN")).To(BeEmpty())
+				// An unreferenced connection would be closed by the collector.
+				DeferCleanup(conn.Close, ctx())
 			}
 		}),
 		Entry("rate exceeded", "53400", "open", insert, func(*bench) {}),
@@ -198,6 +201,8 @@
 
 	// Guards against repetitions that multiply the load of a failing fleet.
 	It("limits repeated requests by the budget", func() {
+		b.close()
+		b = newBench(func(c *frontend.Config) { c.QueueTimeout = 100 * time.Millisecond })
 		always := func(c *fakeConn, sql string) (answers, bool) {
 			if strings.HasPrefix(sql, "SELECT v") {
 				c.net.Close()
--- a/internal/frontend/promise_test.go
+++ b/internal/frontend/promise_test.go
@@ -311,6 +311,10 @@
 				return nil, false
 			}
 			if strings.HasSuffix(sql, "7'") {
+				// Part of an answer that must not precede the repeated one.
+				c.be.Send(row(sql))
+				_ = c.be.Flush()
+				time.Sleep(time.Millisecond)
 				c.net.Close()
 			}
 			out := answers{column("v")}
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -171,10 +171,16 @@
 	_ = s.net.SetReadDeadline(time.Unix(1, 0))
 }
 
+// setReadDeadline bounds the wait for the caller; the zero time removes the
+// bound. It does not undo wake and end.
 func (s *session) setReadDeadline(t time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.endReason == endNone {
+	switch {
+	case s.endReason != endNone:
+	case t.IsZero() && s.srv.draining.Load():
+		_ = s.net.SetReadDeadline(time.Unix(1, 0))
+	default:
 		_ = s.net.SetReadDeadline(t)
 	}
 }
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -268,7 +268,8 @@
 	if s.out.Flush() != nil {
 		return false
 	}
-	return s.net.SetDeadline(time.Time{}) == nil
+	s.setReadDeadline(time.Time{})
+	return true
 }
 
 // reportedParameters are the values that clients expect at the start. They are
--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -60,15 +60,24 @@
 	generation uint64
 	returned   time.Time
 	poisoned   atomic.Bool
+	// interrupted is stored before the deadline is moved to the past.
+	interrupted atomic.Bool
 }
 
-// SetDeadline bounds reads and writes; the zero time removes the bound.
-func (c *Conn) SetDeadline(t time.Time) { _ = c.net.SetDeadline(t) }
+// SetDeadline bounds reads and writes; the zero time removes the bound. It does
+// not undo Interrupt.
+func (c *Conn) SetDeadline(t time.Time) {
+	_ = c.net.SetDeadline(t)
+	if c.interrupted.Load() {
+		_ = c.net.SetDeadline(time.Unix(1, 0))
+	}
+}
 
 // Interrupt makes pending and later reads and writes fail. It is safe for
 // concurrent use; the connection is not reused.
 func (c *Conn) Interrupt() {
 	c.poisoned.Store(true)
+	c.interrupted.Store(true)
 	_ = c.net.SetDeadline(time.Unix(1, 0))
 }
 
