--- a/internal/failover/coordinator.go
+++ b/internal/failover/coordinator.go
@@ -35,7 +35,8 @@
 	// highest is the highest term seen at any instance.
 	highest position.Term
 	// current is the primary of the highest term that is known to have one.
-	current topology.Group
+	current   topology.Group
+	learnedAt time.Time
 
 	views        map[string]view
 	suspectSince time.Time
@@ -83,7 +84,7 @@
 			c.yield(e.Epoch, e.Reason)
 		}
 	case Known:
-		c.learn(e.Group)
+		c.learn(now, e.Group)
 	case DomainReport:
 		c.report(now, e)
 	case Answer:
@@ -173,13 +174,14 @@
 }
 
 // learn records a primary. Terms never go back.
-func (c *Coordinator) learn(g topology.Group) {
+func (c *Coordinator) learn(now time.Time, g topology.Group) {
 	c.see(g.Term)
 	if g.Primary == "" || g.Term.Compare(c.current.Term) <= 0 && c.current.Primary != "" {
 		return
 	}
 	c.current = topology.Group{Database: c.database, Term: g.Term, Primary: g.Primary}
 	clear(c.followers)
+	c.learnedAt = now
 	c.suspectSince = time.Time{}
 	if c.epoch != 0 {
 		c.emit(Announce{Group: c.current})
@@ -218,7 +220,7 @@
 	if a.Err == nil {
 		c.see(a.Status.Term)
 		if a.Status.Role == backend.RolePrimary {
-			c.learn(topology.Group{Database: c.database, Term: a.Status.Term, Primary: call.Instance})
+			c.learn(now, topology.Group{Database: c.database, Term: a.Status.Term, Primary: call.Instance})
 		}
 	}
 	if c.epoch == 0 {
--- a/internal/failover/fake_test.go
+++ b/internal/failover/fake_test.go
@@ -78,9 +78,9 @@
 	return nil
 }
 
-func (g *fakeGroup) setCut(a, b string, cut bool) {
-	g.cut[[2]string{a, b}] = cut
-	g.cut[[2]string{b, a}] = cut
+func (g *fakeGroup) setCut(a, b string) {
+	g.cut[[2]string{a, b}] = true
+	g.cut[[2]string{b, a}] = true
 }
 
 func (g *fakeGroup) reaches(from string, in *fakeInstance) bool {
--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -122,7 +122,7 @@
 		if raised || a.failed[in.Name] != nil {
 			continue
 		}
-		if in.Name == a.target || c.agreement(now, in.Name) > 0 {
+		if in.Name == a.target || c.reaching(now, in.Name) > 0 {
 			return now.Sub(a.majorityAt) >= raiseGrace
 		}
 	}
@@ -132,17 +132,29 @@
 // candidate returns the raised instance with the highest (last log term,
 // received position). Among equals it prefers the switchover's target, then
 // one that is not leaving, then the one that most failure domains reach.
+//
+// Any majority whose term was raised has every acknowledged write. If the
+// widely reached instances are one, the choice is among them: a primary that
+// is cut off from the rest, but not from the coordinator, may have the longest
+// log and would otherwise be promoted again.
 func (c *Coordinator) candidate(now time.Time) (Instance, bool) {
 	a := c.attempt
-	var raised []Instance
+	var raised, reached []Instance
 	for _, in := range c.instances {
-		if _, ok := a.raised[in.Name]; ok {
-			raised = append(raised, in)
+		if _, ok := a.raised[in.Name]; !ok {
+			continue
+		}
+		raised = append(raised, in)
+		if c.widelyReached(now, in.Name) {
+			reached = append(reached, in)
 		}
 	}
 	if len(raised) < c.majority() {
 		return Instance{}, false
 	}
+	if len(reached) >= c.majority() {
+		raised = reached
+	}
 	return slices.MaxFunc(raised, func(x, y Instance) int {
 		sx, sy := a.raised[x.Name], a.raised[y.Name]
 		return cmp.Or(
@@ -150,7 +162,7 @@
 			cmp.Compare(sx.Received, sy.Received),
 			compareBool(x.Name == a.target, y.Name == a.target),
 			compareBool(!x.Leaving, !y.Leaving),
-			cmp.Compare(c.agreement(now, x.Name), c.agreement(now, y.Name)),
+			cmp.Compare(c.reaching(now, x.Name), c.reaching(now, y.Name)),
 		)
 	}), true
 }
@@ -180,7 +192,7 @@
 	a := c.attempt
 	c.attempt = nil
 	clear(c.calls)
-	c.learn(topology.Group{Database: c.database, Term: a.term, Primary: primary})
+	c.learn(now, topology.Group{Database: c.database, Term: a.term, Primary: primary})
 	c.log("promoted", primary, a.term, "instance confirmed the promotion")
 	for name, status := range a.raised {
 		c.followers[name] = &follower{seen: true, term: status.Term}
--- a/internal/failover/runner_test.go
+++ b/internal/failover/runner_test.go
@@ -93,7 +93,7 @@
 		}
 		g.acknowledge(g.get(first.Primary))
 		Expect(g.acked).To(HaveLen(1))
-		g.setCut("a", first.Primary, true)
+		g.setCut("a", first.Primary)
 		g.mu.Unlock()
 		Eventually(func() position.Term {
 			group, _ := second.Group("ledger")
--- a/internal/failover/suspicion.go
+++ b/internal/failover/suspicion.go
@@ -13,6 +13,10 @@
 	// minSuspectingDomains keeps the view of one failure domain, which may be
 	// the one that is cut off, from triggering a promotion.
 	minSuspectingDomains = 2
+	// promotionSettle is the longest time until a failure domain reports a
+	// primary in its new term: a probe and a report. Without it, reports that
+	// call the candidate unreachable would end its promotion at once.
+	promotionSettle = SuspicionTimeout + ReportInterval
 	// singleDomainHold is how much longer a suspicion must last if the
 	// deployment has a single failure domain and no second view exists.
 	singleDomainHold = 800 * time.Millisecond
@@ -41,7 +45,7 @@
 		v.observations[o.Instance] = o
 		c.see(o.Term)
 		if o.Reachable && o.Role == backend.RolePrimary {
-			c.learn(topology.Group{Database: c.database, Term: o.Term, Primary: o.Instance})
+			c.learn(now, topology.Group{Database: c.database, Term: o.Term, Primary: o.Instance})
 		}
 	}
 	c.views[r.Domain] = v
@@ -50,8 +54,8 @@
 
 // judge says what one failure domain's report means for the known primary. An
 // observation in a term below the known one was made before the promotion and
-// decides nothing.
-func (c *Coordinator) judge(v view) verdict {
+// decides nothing, unless the instance stayed unreachable since.
+func (c *Coordinator) judge(now time.Time, v view) verdict {
 	if c.current.Primary == "" {
 		return c.judgeNoPrimary(v)
 	}
@@ -62,10 +66,10 @@
 	switch {
 	case !ok:
 		return undecided
+	case p.Term.Less(c.current.Term) && (p.Reachable || now.Sub(c.learnedAt) < promotionSettle):
+		return undecided
 	case !p.Reachable:
 		return suspects
-	case p.Term.Less(c.current.Term):
-		return undecided
 	case p.Role != backend.RolePrimary:
 		return suspects
 	}
@@ -97,7 +101,7 @@
 			continue
 		}
 		reported++
-		if c.judge(v) == suspects {
+		if c.judge(now, v) == suspects {
 			suspecting++
 		}
 	}
@@ -128,13 +132,29 @@
 }
 
 // agreement counts the failure domains whose recent report reaches an
-// instance.
-func (c *Coordinator) agreement(now time.Time, instance string) int {
-	count := 0
+// instance, and those that reported.
+func (c *Coordinator) agreement(now time.Time, instance string) (reaching, reported int) {
 	for _, v := range c.views {
-		if now.Sub(v.at) <= ReportWindow && v.observations[instance].Reachable {
-			count++
+		if now.Sub(v.at) > ReportWindow {
+			continue
+		}
+		reported++
+		if v.observations[instance].Reachable {
+			reaching++
 		}
 	}
-	return count
+	return reaching, reported
+}
+
+// reaching counts the failure domains whose recent report reaches an instance.
+func (c *Coordinator) reaching(now time.Time, instance string) int {
+	reaching, _ := c.agreement(now, instance)
+	return reaching
+}
+
+// widelyReached reports whether a majority of the failure domains that
+// reported reach an instance.
+func (c *Coordinator) widelyReached(now time.Time, instance string) bool {
+	reaching, reported := c.agreement(now, instance)
+	return 2*reaching > reported
 }
--- a/internal/failover/switchover.go
+++ b/internal/failover/switchover.go
@@ -81,7 +81,7 @@
 	var choice []Instance
 	for _, in := range c.instances {
 		f := c.followers[in.Name]
-		if in.Name != primary.Name && !in.Leaving && f != nil && f.follows && c.agreement(now, in.Name) > 0 {
+		if in.Name != primary.Name && !in.Leaving && f != nil && f.follows && c.reaching(now, in.Name) > 0 {
 			choice = append(choice, in)
 		}
 	}
@@ -90,7 +90,7 @@
 	}
 	return slices.MaxFunc(choice, func(x, y Instance) int {
 		return cmp.Or(
-			cmp.Compare(c.agreement(now, x.Name), c.agreement(now, y.Name)),
+			cmp.Compare(c.reaching(now, x.Name), c.reaching(now, y.Name)),
 			cmp.Compare(c.received(x.Name), c.received(y.Name)),
 		)
 	}), true
