--- a/internal/backend/standin/faults_test.go
+++ b/internal/backend/standin/faults_test.go
@@ -234,20 +234,15 @@
 })
 
 var _ = Describe("Fault address", func() {
-	var server *standin.FaultServer
 	var inst *standin.Instance
 
 	BeforeEach(func() {
-		inst = startGroup(1).Primary()
-		var err error
-		server, err = inst.ServeFaults("127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(server.Close)
+		inst = startGroup(1, func(cfg *standin.Config) { cfg.FaultAddress = "127.0.0.1:0" }).Primary()
 	})
 
 	post := func(body string) (int, string) {
 		GinkgoHelper()
-		resp, err := http.Post("http://"+server.Address()+"/faults", "application/json", strings.NewReader(body))
+		resp, err := http.Post("http://"+inst.FaultAddress()+"/faults", "application/json", strings.NewReader(body))
 		Expect(err).NotTo(HaveOccurred())
 		defer resp.Body.Close()
 		text, err := io.ReadAll(resp.Body)
--- a/internal/backend/standin/instance.go
+++ b/internal/backend/standin/instance.go
@@ -62,6 +62,9 @@
 	// OnReceive, if set, is called with all bytes that arrive. It must not
 	// keep data and is called concurrently.
 	OnReceive func(remote net.Addr, data []byte)
+	// FaultAddress, if set, is where GET and POST /faults are served from the
+	// first start until Discard.
+	FaultAddress string
 	// Logger defaults to none.
 	Logger *zap.Logger
 }
@@ -87,6 +90,7 @@
 
 	connMu   sync.Mutex
 	listener net.Listener
+	faults   *FaultServer
 	sessions map[uint32]*session
 	counts   map[connectionClass]int
 	nextPID  uint32
@@ -144,9 +148,38 @@
 	go i.accept(listener)
 	go i.applyLoop()
 	i.resume()
+	return i.startFaults()
+}
+
+func (i *Instance) startFaults() error {
+	i.connMu.Lock()
+	wanted := i.cfg.FaultAddress != "" && i.faults == nil
+	i.connMu.Unlock()
+	if !wanted {
+		return nil
+	}
+	server, err := i.ServeFaults(i.cfg.FaultAddress)
+	if err != nil {
+		_ = i.Close()
+		return err
+	}
+	i.connMu.Lock()
+	defer i.connMu.Unlock()
+	i.faults = server
 	return nil
 }
 
+// FaultAddress returns host and port of the fault address, empty if there is
+// none.
+func (i *Instance) FaultAddress() string {
+	i.connMu.Lock()
+	defer i.connMu.Unlock()
+	if i.faults == nil {
+		return ""
+	}
+	return i.faults.Address()
+}
+
 func (i *Instance) open(listener net.Listener) error {
 	i.connMu.Lock()
 	defer i.connMu.Unlock()
@@ -235,6 +268,11 @@
 // Discard closes the instance and frees its data. It can't be started again.
 func (i *Instance) Discard() {
 	_ = i.Close()
+	i.connMu.Lock()
+	if i.faults != nil {
+		_ = i.faults.Close()
+	}
+	i.connMu.Unlock()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.db != nil {
--- a/internal/backend/standin/session.go
+++ b/internal/backend/standin/session.go
@@ -292,6 +292,9 @@
 		s.sendParameter(backend.ParameterCommitPosition, s.commitReport.String())
 		s.commitReport = position.Position{}
 	}
+	if standby := onOff(s.inst.replica.Load()); s.reported["in_hot_standby"] != standby {
+		s.report("in_hot_standby", standby)
+	}
 	if applied := s.inst.appliedPosition(); applied.LSN != s.sentApplied {
 		s.sentApplied = applied.LSN
 		s.sendParameter(backend.ParameterAppliedPosition, applied.String())
