--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -74,3 +74,19 @@
 	}
 	return holder, epoch, ok
 }
+
+// String returns the lower-case name of the state.
+func (s State) String() string {
+	switch s {
+	case StateAlive:
+		return "alive"
+	case StateSuspect:
+		return "suspect"
+	case StateDead:
+		return "dead"
+	case StateLeft:
+		return "left"
+	default:
+		return "unknown"
+	}
+}
