Leave instances that do not answer, and test against the stand-in

After a promotion, a frozen former primary was taken for a replica: reads waited up to 60 s for it, and requests in its connection queue were not told that it had been demoted. Instances that refuse connections or owe answers for 1 s are now suspect: they get no reads until a probe is answered, and reads on one that does not answer the probe are repeated elsewhere. Retiring an instance ends the waits in its queue. Writes in flight on a demoted instance end after 300 ms instead of 1 s.

--- a/internal/frontend/config.go
+++ b/internal/frontend/config.go
@@ -80,7 +80,7 @@
 	// owes an answer; 0 means 60 s.
 	AnswerTimeout time.Duration
 	// DemotedGrace is how long an instance that was demoted may still answer
-	// requests in flight; 0 means 1 s.
+	// writes in flight; 0 means 300 ms.
 	DemotedGrace time.Duration
 }
 
@@ -117,5 +117,5 @@
 	defaultTo(&c.GuardWait, 10*time.Millisecond)
 	defaultTo(&c.ReplicateWait, 5*time.Second)
 	defaultTo(&c.AnswerTimeout, 60*time.Second)
-	defaultTo(&c.DemotedGrace, time.Second)
+	defaultTo(&c.DemotedGrace, 300*time.Millisecond)
 }
--- /dev/null
+++ b/internal/frontend/group_test.go
@@ -0,0 +1,219 @@
+package frontend_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/bramleylever/bramleylever/internal/backend"
+	"github.com/bramleylever/bramleylever/internal/backend/standin"
+	"github.com/bramleylever/bramleylever/internal/frontend"
+	"github.com/bramleylever/bramleylever/internal/pool"
+	"github.com/bramleylever/bramleylever/internal/records"
+	"github.com/bramleylever/bramleylever/internal/topology"
+)
+
+// fleet is two proxies in front of a group of three instances. Each proxy has
+// its own topology, so that one can be behind.
+type fleet struct {
+	group      *standin.Group
+	topologies [2]*topology.Table
+	servers    [2]*frontend.Server
+	addresses  [2]string
+	registry   metrics.Registry
+}
+
+func newFleet(lag time.Duration) *fleet {
+	f := &fleet{registry: metrics.NewRegistry()}
+	var err error
+	f.group, err = standin.NewGroupAt([]string{"127.0.0.2", "127.0.0.3", "127.0.0.4"}, standin.Config{
+		User: proxyUser, Password: proxyPassword, Settings: standin.Settings{Lag: standin.Duration(lag)}})
+	Expect(err).NotTo(HaveOccurred())
+	db := records.Database{Name: "db"}
+	for _, i := range f.group.Instances {
+		db.Instances = append(db.Instances, records.Instance{Name: i.Name(), Address: i.Address()})
+	}
+	feed := records.NewFeed()
+	feed.Publish(&records.Snapshot{
+		Revision:  1,
+		Databases: map[string]records.Database{"db": db},
+		Accounts:  map[string]records.Account{"acc": {Name: "acc", Weight: 1}},
+		Keys:      map[string]records.Key{"k1": verifier("k1", "acc", keySecret)},
+		Routes:    map[string]records.Route{"orders": {Name: "orders", Database: "db", MaxStaleness: -1}},
+	})
+	for i := range f.servers {
+		f.topologies[i] = topology.NewTable()
+		f.topologies[i].Update(topology.Group{Database: "db", Term: term(1), Primary: f.group.Primary().Name()})
+		f.servers[i] = frontend.New(frontend.Config{
+			Feed:          feed,
+			Topology:      f.topologies[i],
+			Pool:          pool.Config{Credentials: pool.Credentials{User: proxyUser, Password: proxyPassword}, Budget: fixedBudget(20)},
+			Registry:      f.registry,
+			ReplicateWait: 500 * time.Millisecond,
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		f.addresses[i] = l.Addr().String()
+		go func() { _ = f.servers[i].Serve(l) }()
+	}
+	return f
+}
+
+type fixedBudget int
+
+func (b fixedBudget) Limit(string, time.Time) int { return int(b) }
+func (fixedBudget) Report(string, int, int)       {}
+
+func (f *fleet) close() {
+	for _, s := range f.servers {
+		s.Close()
+	}
+	f.group.Close()
+}
+
+func (f *fleet) connect(ctx context.Context, proxy int, position string) (*pgx.Conn, error) {
+	return pgx.Connect(ctx, "postgres://k1:"+keySecret+"@"+f.addresses[proxy]+
+		"/orders?sslmode=disable&bramleylever.session_position="+position)
+}
+
+// promote makes the reachable instance with the longest log the primary of
+// term 2.1, as a coordinator does, and tells each proxy after its delay.
+func (f *fleet) promote(reachable []int, delays [2]time.Duration) {
+	in := f.group.Instances
+	next := 1
+	for _, i := range reachable {
+		_, err := in[i].RaiseTerm(term(2))
+		Expect(err).NotTo(HaveOccurred())
+	}
+	for _, i := range reachable {
+		if s := in[i].Status(); s.Received > in[next].Status().Received {
+			next = i
+		}
+	}
+	_, err := in[next].Promote(term(2))
+	Expect(err).NotTo(HaveOccurred())
+	for _, i := range reachable {
+		if i != next {
+			_, err = in[i].Follow(ctx(), term(2), in[next].Address())
+			Expect(err).NotTo(HaveOccurred())
+		}
+	}
+	for i, delay := range delays {
+		time.AfterFunc(delay, func() {
+			f.topologies[i].Update(topology.Group{Database: "db", Term: term(2), Primary: in[next].Name()})
+		})
+	}
+}
+
+// history counts what sessions observed.
+type history struct {
+	acknowledged, unknown, refused, missing atomic.Int64
+}
+
+// run is a session that writes and reads its own row and roams between the
+// proxies. A read must return at least the last acknowledged write.
+func (f *fleet) run(ctx context.Context, session int, h *history) {
+	position, acknowledged := "", 0
+	var conn *pgx.Conn
+	for n := 1; ctx.Err() == nil; n++ {
+		if n%7 == 0 && conn != nil {
+			_ = conn.Close(context.Background())
+			conn = nil
+		}
+		if conn == nil || conn.IsClosed() {
+			var err error
+			if conn, err = f.connect(ctx, (session+n/7)%2, position); err != nil {
+				continue
+			}
+		}
+		_, err := conn.Exec(ctx, "UPDATE t SET v = $1 WHERE k = $2", n, session)
+		switch sqlState(err) {
+		case "":
+			acknowledged = n
+			h.acknowledged.Add(1)
+			position = conn.PgConn().ParameterStatus("bramleylever.session_position")
+		case "08007":
+			h.unknown.Add(1)
+		default:
+			h.refused.Add(1)
+		}
+		var v int
+		if conn.QueryRow(ctx, "SELECT v FROM t WHERE k = $1", session).Scan(&v) == nil && v < acknowledged {
+			h.missing.Add(1)
+		}
+	}
+	if conn != nil {
+		_ = conn.Close(context.Background())
+	}
+}
+
+var _ = Describe("Promise 1 and 2: sessions over a group of instances", func() {
+	// Guards against lost acknowledged writes and reads that miss them, with
+	// lagging replicas, roaming sessions and a proxy that learns late.
+	DescribeTable("acknowledged writes stay visible",
+		func(fault func(f *fleet), mayFail bool) {
+			f := newFleet(20 * time.Millisecond)
+			defer f.close()
+			conn, err := f.connect(ctx(), 0, "")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(exec(conn, "CREATE TABLE t (k int, v int)")).To(BeEmpty())
+			const sessions = 6
+			for i := range sessions {
+				Expect(exec(conn, fmt.Sprintf("INSERT INTO t VALUES (%d, 0)", i))).To(BeEmpty())
+			}
+			_ = conn.Close(ctx())
+			h := &history{}
+			running, stop := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			for i := range sessions {
+				wg.Go(func() { f.run(running, i, h) })
+			}
+			Eventually(h.acknowledged.Load, "10s").Should(BeNumerically(">", 50))
+			fault(f)
+			before := h.acknowledged.Load()
+			Eventually(h.acknowledged.Load, "10s").Should(BeNumerically(">", before+100))
+			stop()
+			wg.Wait()
+			GinkgoWriter.Printf("acknowledged %d, unknown %d, refused %d\n", h.acknowledged.Load(), h.unknown.Load(), h.refused.Load())
+			Expect(h.missing.Load()).To(BeZero())
+			if !mayFail {
+				// Stopping the sessions cuts off at most one request of each.
+				Expect(h.unknown.Load()).To(BeZero())
+				Expect(h.refused.Load()).To(BeNumerically("<=", sessions))
+			}
+		},
+		Entry("no fault", func(*fleet) {}, false),
+		Entry("planned switchover", func(f *fleet) {
+			control, err := backend.PGDialer{Password: proxyPassword}.DialControl(ctx(), f.group.Primary().Address())
+			Expect(err).NotTo(HaveOccurred())
+			defer control.Close()
+			_, err = control.Quiesce(ctx(), 250*time.Millisecond)
+			Expect(err).NotTo(HaveOccurred())
+			end := f.group.Primary().Status().Received
+			Eventually(func() any { return f.group.Instances[1].Status().Received }).Should(Equal(end))
+			f.promote([]int{0, 1, 2}, [2]time.Duration{0, 50 * time.Millisecond})
+		}, false),
+		Entry("primary killed", func(f *fleet) {
+			Expect(f.group.Primary().Close()).To(Succeed())
+			time.Sleep(200 * time.Millisecond)
+			f.promote([]int{1, 2}, [2]time.Duration{0, 300 * time.Millisecond})
+		}, true),
+		Entry("primary cut off from its replicas", func(f *fleet) {
+			Expect(f.group.Isolate(0)).To(Succeed())
+			time.Sleep(100 * time.Millisecond)
+			f.promote([]int{1, 2}, [2]time.Duration{0, 400 * time.Millisecond})
+		}, true),
+		Entry("primary frozen", func(f *fleet) {
+			f.group.Primary().Freeze()
+			f.promote([]int{1, 2}, [2]time.Duration{0, 100 * time.Millisecond})
+		}, true),
+	)
+})
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -247,7 +247,11 @@
 // runAttached runs a batch in the open transaction or before its Sync.
 func (s *session) runAttached(p *plan) bool {
 	c := s.conn
-	s.setRunning(c, !s.st.readOnly)
+	kind := runWrite
+	if s.st.readOnly {
+		kind = runOther
+	}
+	s.setRunning(c, kind)
 	s.x.begin(s.st, c, p, s.out)
 	began := s.srv.cfg.Now()
 	_, err := s.sendBatch(c, p, guard{})
@@ -317,7 +321,7 @@
 		s.giveBack(c, true)
 	} else {
 		s.conn = c
-		s.setRunning(nil, false)
+		s.setRunning(nil, runOther)
 	}
 	if unknown {
 		s.count(p, endedUnknown)
--- a/internal/frontend/route.go
+++ b/internal/frontend/route.go
@@ -205,7 +205,7 @@
 	if err != nil {
 		return s.acquireFailed(a, target, err)
 	}
-	s.setRunning(c, a.write)
+	s.setRunning(c, runningAs(a))
 	if v, ok := s.setParameters(a, c); !ok {
 		return v
 	}
@@ -213,6 +213,18 @@
 	return s.execute(a, c, target, s.guardFor(a, c, d))
 }
 
+// runningAs says who may interrupt the request.
+func runningAs(a *attempt) runKind {
+	switch {
+	case a.write:
+		return runWrite
+	case a.plan.repeatable():
+		return runRead
+	default:
+		return runOther
+	}
+}
+
 func (s *session) countRead(a *attempt, target *routing.Candidate) {
 	switch {
 	case a.write || !a.plan.runs:
@@ -249,6 +261,9 @@
 		a.exclude(target.Instance)
 		return verdictAgain
 	}
+	if errors.Is(err, pool.ErrRetired) && s.srv.cfg.Now().Before(a.deadline) {
+		return verdictAgain
+	}
 	s.count(a.plan, endedNotRun)
 	if a.held > 0 {
 		return s.finished(s.refuse(noPrimaryInTime(), a.plan.synced))
@@ -301,8 +316,8 @@
 	s.x.begin(s.st, c, p, s.out)
 	s.x.allowRetry = !p.readOnlyBlock
 	estimate := s.srv.estimates.Of(target.Instance)
-	estimate.Begin()
 	began := s.srv.cfg.Now()
+	estimate.Begin(began)
 	sent, err := s.sendBatch(c, p, g)
 	if err == nil {
 		err = s.relay(c)
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -30,6 +30,8 @@
 	fallbacks *fallbackLimit
 	metrics   *serverMetrics
 	mockSalt  []byte
+	// probing holds the instances that are being probed.
+	probing sync.Map
 
 	mu        sync.Mutex
 	listeners map[net.Listener]struct{}
@@ -252,6 +254,7 @@
 			return
 		case <-ticker.C:
 			s.pools.Tick()
+			s.probeSuspects()
 		}
 	}
 }
@@ -301,6 +304,36 @@
 
 func (s *Server) interruptWrites(instance string) {
 	for _, ses := range s.allSessions() {
-		ses.interruptOn(instance)
+		ses.interruptWrite(instance)
+	}
+}
+
+// probeSuspects asks instances that owe answers whether they answer at all. A
+// slow statement is left alone; reads on an instance that does not answer are
+// repeated elsewhere.
+func (s *Server) probeSuspects() {
+	now := s.cfg.Now()
+	for _, database := range s.cfg.Feed.Current().Databases {
+		for _, instance := range database.Instances {
+			if !s.estimates.Of(instance.Name).Suspect(now) {
+				continue
+			}
+			if _, busy := s.probing.LoadOrStore(instance.Name, true); !busy {
+				s.workers.Add(1)
+				go s.probe(pool.Target{Instance: instance.Name, Address: instance.Address, Database: database.Name})
+			}
+		}
+	}
+}
+
+func (s *Server) probe(t pool.Target) {
+	defer s.workers.Done()
+	defer s.probing.Delete(t.Instance)
+	if s.pools.Ping(t) == nil {
+		s.estimates.Of(t.Instance).Answered(s.cfg.Now())
+		return
+	}
+	for _, ses := range s.allSessions() {
+		ses.interruptRead(t.Instance)
 	}
 }
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -24,6 +24,17 @@
 	endClosed
 )
 
+// runKind says what the running request is.
+type runKind uint8
+
+const (
+	runOther runKind = iota
+	// runWrite can commit.
+	runWrite
+	// runRead can be repeated on another instance.
+	runRead
+)
+
 // session runs one caller's connection: it moves bytes between the caller, the
 // state and the backend connection.
 type session struct {
@@ -52,11 +63,10 @@
 	// cancelMu is held while a cancel request is sent; it is taken before mu.
 	cancelMu sync.Mutex
 	// mu guards what other goroutines read.
-	mu      sync.Mutex
-	net     net.Conn
-	running *pool.Conn
-	// writing reports that the running request can commit.
-	writing   bool
+	mu        sync.Mutex
+	net       net.Conn
+	running   *pool.Conn
+	runKind   runKind
 	endReason endReason
 }
 
@@ -205,23 +215,33 @@
 	return s.endReason
 }
 
-// interruptOn ends a write that runs on an instance since before that was
+// interruptWrite ends a write that runs on an instance since before that was
 // demoted; it cannot be acknowledged any more.
-func (s *session) interruptOn(instance string) {
+func (s *session) interruptWrite(instance string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running != nil && s.runKind == runWrite && s.running.Instance == instance && s.running.Retired() {
+		s.running.Interrupt()
+	}
+}
+
+// interruptRead ends a read on an instance that does not answer; it is
+// repeated elsewhere.
+func (s *session) interruptRead(instance string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running != nil && s.writing && s.running.Instance == instance && s.running.Retired() {
+	if s.running != nil && s.runKind == runRead && s.running.Instance == instance {
 		s.running.Interrupt()
 	}
 }
 
 // setRunning records the connection on which the session's request runs, for
 // cancel requests. It waits for a cancel request that is being sent.
-func (s *session) setRunning(c *pool.Conn, writing bool) {
+func (s *session) setRunning(c *pool.Conn, kind runKind) {
 	s.cancelMu.Lock()
 	defer s.cancelMu.Unlock()
 	s.mu.Lock()
-	s.running, s.writing = c, writing
+	s.running, s.runKind = c, kind
 	if c != nil && s.endReason != endNone {
 		c.Interrupt()
 	}
@@ -231,7 +251,7 @@
 // giveBack returns a backend connection to its pool.
 func (s *session) giveBack(c *pool.Conn, clean bool) {
 	s.conn = nil
-	s.setRunning(nil, false)
+	s.setRunning(nil, runOther)
 	s.srv.pools.Release(c, clean)
 }
 
--- a/internal/pool/instance.go
+++ b/internal/pool/instance.go
@@ -139,8 +139,13 @@
 	if p.open > 0 || tooManyConnections(err) {
 		return
 	}
+	p.endWaits(fmt.Errorf("connect: peer %s: %w: %w", p.target.Instance, ErrUnreachable, err))
+}
+
+// endWaits ends all waits with an error.
+func (p *instancePool) endWaits(err error) {
 	for id, ok := p.queue.next(); ok; id, ok = p.queue.next() {
-		p.finish(id, grant{err: fmt.Errorf("connect: peer %s: %w: %w", p.target.Instance, ErrUnreachable, err)})
+		p.finish(id, grant{err: err})
 	}
 }
 
@@ -201,7 +206,7 @@
 	defer p.mu.Unlock()
 	p.generation.Add(1)
 	p.dropIdle(0)
-	p.dialIfNeeded(p.set.Limit(p.target.Instance))
+	p.endWaits(ErrRetired)
 }
 
 // dropIdle closes idle connections, the ones unused for longest first, until
@@ -236,7 +241,5 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	p.dropIdle(0)
-	for id, ok := p.queue.next(); ok; id, ok = p.queue.next() {
-		p.finish(id, grant{err: ErrClosed})
-	}
+	p.endWaits(ErrClosed)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -26,6 +26,10 @@
 	// ErrUnreachable reports that no connection could be opened; it matches
 	// outcome.ErrNotRun.
 	ErrUnreachable = fmt.Errorf("instance is unreachable: %w", outcome.ErrNotRun)
+	// ErrRetired reports that the instance was retired while the request
+	// waited; another one may have taken its place. It matches
+	// outcome.ErrNotRun.
+	ErrRetired = fmt.Errorf("instance was retired: %w", outcome.ErrNotRun)
 	// ErrClosed reports that the pool or the waiting session was closed; it
 	// matches outcome.ErrNotRun.
 	ErrClosed = fmt.Errorf("pool is closed: %w", outcome.ErrNotRun)
@@ -125,7 +129,7 @@
 }
 
 // Retire keeps all present connections of an instance from being reused, after
-// it was demoted or began to leave.
+// it was demoted or began to leave. Waiting requests get ErrRetired.
 func (s *Set) Retire(instance string) {
 	s.mu.RLock()
 	p := s.pools[instance]
@@ -135,6 +139,26 @@
 	}
 }
 
+// Ping reports whether an instance answers the start of a connection, be it
+// with a refusal.
+func (s *Set) Ping(t Target) error {
+	c, err := dial(dialTarget{
+		instance:    t.Instance,
+		address:     t.Address,
+		database:    t.Database,
+		credentials: s.cfg.Credentials,
+		timeout:     s.cfg.DialTimeout,
+	})
+	var refused *ServerError
+	if errors.As(err, &refused) {
+		return nil
+	}
+	if err == nil {
+		c.Close()
+	}
+	return err
+}
+
 // Prepare creates the pool of an instance, so that Tick keeps it warm.
 func (s *Set) Prepare(t Target) { _ = s.pool(t) }
 
--- a/internal/routing/estimates.go
+++ b/internal/routing/estimates.go
@@ -46,11 +46,22 @@
 	errorRate   float64
 	applied     position.Position
 	observed    time.Time
+	// waitingSince is the last answer, or the first request after an idle
+	// time.
+	waitingSince time.Time
+	down         bool
 }
 
+// suspectAfter is the time without any answer after which an instance with
+// outstanding requests is suspected to be frozen or cut off.
+const suspectAfter = time.Second
+
 // Begin counts a request that is being sent.
-func (e *Estimate) Begin() {
+func (e *Estimate) Begin(now time.Time) {
 	e.mu.Lock()
+	if e.outstanding == 0 {
+		e.waitingSince = now
+	}
 	e.outstanding++
 	e.mu.Unlock()
 }
@@ -67,6 +78,8 @@
 	} else {
 		e.latency += smoothing * (float64(latency) - e.latency)
 		e.observed = now
+		e.waitingSince = now
+		e.down = false
 		// The position may go back after a rewind, so it is replaced.
 		e.applied = applied
 	}
@@ -75,13 +88,35 @@
 
 // Observe counts a request that ran in a transaction.
 func (e *Estimate) Observe(latency time.Duration, failed bool, applied position.Position, now time.Time) {
-	e.Begin()
+	e.Begin(now.Add(-latency))
 	e.End(latency, failed, applied, now)
 }
 
-// Fail counts a request that could not be sent.
+// Suspect reports whether the instance refused connections or owes answers for
+// a long time. A slow statement looks the same, so a probe must decide.
+func (e *Estimate) Suspect(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.suspect(now)
+}
+
+func (e *Estimate) suspect(now time.Time) bool {
+	return e.down || e.outstanding > 0 && now.Sub(e.waitingSince) > suspectAfter
+}
+
+// Answered notes that the instance answered a probe.
+func (e *Estimate) Answered(now time.Time) {
+	e.mu.Lock()
+	e.down = false
+	e.waitingSince = now
+	e.mu.Unlock()
+}
+
+// Fail counts a request that could not be sent. The instance is suspect until
+// it answers.
 func (e *Estimate) Fail() {
 	e.mu.Lock()
+	e.down = true
 	e.errorRate += smoothing * (1 - e.errorRate)
 	e.mu.Unlock()
 }
@@ -94,5 +129,6 @@
 	c.ErrorRate = e.errorRate
 	c.Applied = e.applied
 	c.ObservedAge = now.Sub(e.observed)
+	c.Suspect = e.suspect(now)
 	e.mu.Unlock()
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -21,6 +21,8 @@
 	Near bool
 	// Leaving reports that the instance gets no new work.
 	Leaving bool
+	// Suspect reports that the instance does not answer at present.
+	Suspect bool
 	// Failed reports that this request already failed on the instance.
 	Failed bool
 	// Applied is the position last observed on any connection. It is a hint:
@@ -145,10 +147,15 @@
 	return d
 }
 
+// takesReads reports whether the instance is a replica that is in service.
+func (c *Candidate) takesReads() bool {
+	return !c.Primary && !c.Leaving && !c.Failed && !c.Suspect
+}
+
 // usable reports whether a replica can take the read. A replica that was seen
 // behind the session a moment ago is left out.
 func usable(in *Input, c *Candidate) bool {
-	if c.Primary || c.Leaving || c.Failed || c.Weight <= 0 {
+	if !c.takesReads() || c.Weight <= 0 {
 		return false
 	}
 	behind := c.Applied.Compare(in.Position) < 0 && !c.Applied.IsZero()
@@ -182,7 +189,7 @@
 	best := None
 	for i := range in.Candidates {
 		c := &in.Candidates[i]
-		if c.Primary || c.Leaving || c.Failed {
+		if !c.takesReads() {
 			continue
 		}
 		if best == None || in.Candidates[best].Applied.Compare(c.Applied) < 0 {
@@ -197,7 +204,7 @@
 
 func replicasLeft(candidates []Candidate) bool {
 	for i := range candidates {
-		if c := &candidates[i]; !c.Primary && !c.Leaving && !c.Failed {
+		if candidates[i].takesReads() {
 			return true
 		}
 	}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -59,6 +59,7 @@
 				Instance:    string(rune('a' + i)),
 				Primary:     i == 0 && rapid.Bool().Draw(t, "primary"),
 				Leaving:     rapid.Bool().Draw(t, "leaving"),
+				Suspect:     rapid.Bool().Draw(t, "suspect"),
 				Failed:      rapid.Bool().Draw(t, "failed"),
 				Applied:     at(1, uint64(rapid.IntRange(0, 9).Draw(t, "applied"))),
 				ObservedAge: time.Duration(rapid.IntRange(0, 40).Draw(t, "observed")) * time.Millisecond,
@@ -87,6 +88,8 @@
 		return "only the primary can run this request"
 	case !c.Primary && c.Leaving:
 		return "the instance is leaving"
+	case !c.Primary && c.Suspect:
+		return "the instance does not answer"
 	case d.Fallback && (!c.Primary || !in.FallbackAllowed):
 		return "the fallback is not allowed"
 	case in.Roamed && d.Check != routing.CheckPrimary:
@@ -203,7 +206,7 @@
 	It("follows the last observation", func() {
 		e := routing.NewEstimates().Of("a")
 		now := time.Unix(100, 0)
-		e.Begin()
+		e.Begin(now)
 		e.End(time.Millisecond, false, at(1, 9), now)
 		e.Observe(time.Millisecond, false, at(1, 7), now)
 		e.Fail()
@@ -214,4 +217,22 @@
 		Expect(c.Outstanding).To(BeZero())
 		Expect(c.ErrorRate).To(BeNumerically(">", 0))
 	})
+
+	// Guards against reads on an instance that is frozen, and against one that
+	// is never used again.
+	It("suspects an instance that owes answers", func() {
+		e := routing.NewEstimates().Of("a")
+		now := time.Unix(100, 0)
+		later := now.Add(2 * time.Second)
+		Expect(e.Suspect(later)).To(BeFalse())
+		e.Begin(now)
+		Expect(e.Suspect(now.Add(time.Second / 2))).To(BeFalse())
+		Expect(e.Suspect(later)).To(BeTrue())
+		e.Answered(later)
+		Expect(e.Suspect(later)).To(BeFalse())
+		e.Fail()
+		Expect(e.Suspect(later)).To(BeTrue())
+		e.End(time.Millisecond, false, at(1, 1), later)
+		Expect(e.Suspect(later)).To(BeFalse())
+	})
 })
