--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -54,6 +55,7 @@
 
 	pool       *instancePool
 	net        net.Conn
+	dial       DialFunc
 	raw        syscall.RawConn
 	peek       func(fd uintptr) bool
 	dead       bool
@@ -147,11 +149,22 @@
 	database    string
 	credentials Credentials
 	timeout     time.Duration
+	dial        DialFunc
+}
+
+// DialFunc opens a network connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// open connects within a time-out.
+func (d DialFunc) open(address string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return d(ctx, "tcp", address)
 }
 
 // dial opens a connection and authenticates the proxy.
 func dial(t dialTarget) (*Conn, error) {
-	raw, err := net.DialTimeout("tcp", t.address, t.timeout)
+	raw, err := t.dial.open(t.address, t.timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -162,6 +175,7 @@
 		Out:        wire.NewWriter(raw),
 		Parameters: map[string]string{},
 		net:        raw,
+		dial:       t.dial,
 	}
 	c.SetDeadline(time.Now().Add(t.timeout))
 	if err := c.handshake(t); err != nil {
@@ -319,7 +333,7 @@
 // Cancel asks the instance to cancel what runs on a connection and waits until
 // the instance has taken the request.
 func (c *Conn) Cancel(timeout time.Duration) error {
-	conn, err := net.DialTimeout("tcp", c.Address, timeout)
+	conn, err := c.dial.open(c.Address, timeout)
 	if err != nil {
 		return err
 	}
--- a/internal/pool/instance.go
+++ b/internal/pool/instance.go
@@ -118,6 +118,7 @@
 		database:    p.target.Database,
 		credentials: p.set.cfg.Credentials,
 		timeout:     p.set.cfg.DialTimeout,
+		dial:        p.set.cfg.Dial,
 	})
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -8,6 +8,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -60,7 +61,9 @@
 	Warm int
 	// DialTimeout bounds opening a connection; 0 means 1 s.
 	DialTimeout time.Duration
-	Registry    metrics.Registry
+	// Dial opens network connections; nil means the TCP dialer.
+	Dial     DialFunc
+	Registry metrics.Registry
 }
 
 // DefaultLimit is the number of connections to an instance without a budget.
@@ -86,6 +89,9 @@
 	if cfg.MaxStatements == 0 {
 		cfg.MaxStatements = 200
 	}
+	if cfg.Dial == nil {
+		cfg.Dial = (&net.Dialer{}).DialContext
+	}
 	if cfg.DialTimeout == 0 {
 		cfg.DialTimeout = time.Second
 	}
