--- a/internal/pool/instance.go
+++ b/internal/pool/instance.go
@@ -112,14 +112,7 @@
 }
 
 func (p *instancePool) dial(generation uint64) {
-	c, err := dial(dialTarget{
-		instance:    p.target.Instance,
-		address:     p.target.Address,
-		database:    p.target.Database,
-		credentials: p.set.cfg.Credentials,
-		timeout:     p.set.cfg.DialTimeout,
-		dial:        p.set.cfg.Dial,
-	})
+	c, err := dial(p.set.dialTarget(p.target))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing--
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -148,13 +148,7 @@
 // Ping reports whether an instance answers the start of a connection, be it
 // with a refusal.
 func (s *Set) Ping(t Target) error {
-	c, err := dial(dialTarget{
-		instance:    t.Instance,
-		address:     t.Address,
-		database:    t.Database,
-		credentials: s.cfg.Credentials,
-		timeout:     s.cfg.DialTimeout,
-	})
+	c, err := dial(s.dialTarget(t))
 	var refused *ServerError
 	if errors.As(err, &refused) {
 		return nil
@@ -165,6 +159,17 @@
 	return err
 }
 
+func (s *Set) dialTarget(t Target) dialTarget {
+	return dialTarget{
+		instance:    t.Instance,
+		address:     t.Address,
+		database:    t.Database,
+		credentials: s.cfg.Credentials,
+		timeout:     s.cfg.DialTimeout,
+		dial:        s.cfg.Dial,
+	}
+}
+
 // Prepare creates the pool of an instance, so that Tick keeps it warm.
 func (s *Set) Prepare(t Target) { _ = s.pool(t) }
 
