--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
@@ -50,6 +52,18 @@
 	}
 }
 
+// WithDial replaces the TCP dialer.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) grpc.DialOption {
+	return grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		return dial(ctx, "tcp", address)
+	})
+}
+
+// WithTraffic counts the bytes of calls in a registry.
+func WithTraffic(registry metrics.Registry) grpc.DialOption {
+	return grpc.WithStatsHandler(NewTraffic(registry))
+}
+
 // Conn returns the connection to an address, which is opened on first use.
 func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/proxy/frontend.go
@@ -0,0 +1,53 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/bramleylever/bramleylever/internal/frontend"
+	"github.com/bramleylever/bramleylever/internal/pool"
+)
+
+// warmConnections are kept open to each instance, because opening one takes
+// 10 to 30 ms.
+const warmConnections = 1
+
+func (p *Proxy) frontendConfig() (frontend.Config, error) {
+	s := p.settings
+	tlsConfig, err := p.tlsConfig()
+	if err != nil {
+		return frontend.Config{}, err
+	}
+	password, err := p.backendPassword()
+	if err != nil {
+		return frontend.Config{}, err
+	}
+	return frontend.Config{
+		Domain:   s.FailureDomain,
+		Feed:     p.feed,
+		Topology: p.topology,
+		Pool: pool.Config{
+			Credentials: pool.Credentials{User: s.Backend.User, Password: password},
+			Budget:      p.shares,
+			Dial:        pool.DialFunc(p.dial),
+			Warm:        warmConnections,
+			DialTimeout: s.Backend.ConnectTimeout,
+			Registry:    p.registry,
+		},
+		Limiter:         p.shares,
+		Confirmed:       p.confirmed,
+		TLS:             tlsConfig,
+		Selection:       s.Routing.Policy,
+		Weight:          func(instance string) float64 { return p.weights.Weight(instance, time.Now()) },
+		Logger:          p.log.Named("routing"),
+		LogEvery:        uint64(s.Log.RoutingSample),
+		Registry:        p.registry,
+		Seed:            p.identity.Incarnation,
+		MaxMessageBytes: s.Limits.MessageBytes,
+		MaxConnections:  s.Limits.Connections,
+		QueueTimeout:    s.Routing.QueueWait,
+		QueueRequests:   s.Limits.QueueRequests,
+		QueueBytes:      s.Limits.QueueBytes,
+		GuardWait:       s.Routing.GuardWait,
+		ReplicateWait:   s.Routing.ReplicateWait,
+	}, nil
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,387 @@
+// Package proxy assembles the daemon: it starts the slices in the order of
+// their dependencies and ends them in reverse.
+//
+// Invariant: callers are accepted only after a configuration is in force, and
+// a planned stop ends no request that was accepted.
+package proxy
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/admin"
+	"github.com/bramleylever/bramleylever/internal/backend"
+	"github.com/bramleylever/bramleylever/internal/control"
+	"github.com/bramleylever/bramleylever/internal/drain"
+	"github.com/bramleylever/bramleylever/internal/failover"
+	"github.com/bramleylever/bramleylever/internal/frontend"
+	"github.com/bramleylever/bramleylever/internal/membership"
+	"github.com/bramleylever/bramleylever/internal/peer"
+	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/records"
+	"github.com/bramleylever/bramleylever/internal/settings"
+	"github.com/bramleylever/bramleylever/internal/shares"
+	"github.com/bramleylever/bramleylever/internal/topology"
+)
+
+// DialFunc opens outgoing connections.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options says how to run a proxy.
+type Options struct {
+	Settings settings.Settings
+	Log      *zap.Logger
+	// Dial replaces the TCP dialer, for tests with partitions; nil dials from
+	// the settings' source address.
+	Dial DialFunc
+}
+
+// Proxy is a running daemon.
+type Proxy struct {
+	settings settings.Settings
+	log      *zap.Logger
+	dial     DialFunc
+	registry metrics.Registry
+	identity peer.Identity
+
+	store    platform.Store
+	peers    *peer.Pool
+	server   *peer.Server
+	feed     *records.Feed
+	topology *topology.Table
+	weights  *drain.Weights
+	members  *membership.Runner
+	elector  *control.Elector
+	records  *records.Runner
+	failover *failover.Runner
+	shares   *shares.Runner
+	frontend *frontend.Server
+	admin    *admin.Server
+
+	callers  net.Listener
+	draining atomic.Bool
+
+	// control ends the control duties; requests ends after them in reverse.
+	stopControl context.CancelFunc
+	running     sync.WaitGroup
+	closeOnce   sync.Once
+}
+
+// Start runs a proxy until Drain or Close. It returns once callers can
+// connect; it is ready when a configuration is in force.
+func Start(o Options) (*Proxy, error) {
+	p := &Proxy{
+		settings: o.Settings,
+		log:      o.Log,
+		dial:     o.Dial,
+		registry: metrics.NewRegistry(),
+		feed:     records.NewFeed(),
+		topology: topology.NewTable(),
+		weights:  drain.NewWeights(),
+	}
+	if p.dial == nil {
+		p.dial = sourceDialer(o.Settings.Backend.SourceAddress)
+	}
+	if err := p.start(); err != nil {
+		p.Close()
+		return nil, fmt.Errorf("start proxy %s: %w", o.Settings.Host, err)
+	}
+	return p, nil
+}
+
+func sourceDialer(source string) DialFunc {
+	dialer := &net.Dialer{}
+	if address, err := netip.ParseAddr(source); err == nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: address.AsSlice()}
+	}
+	return dialer.DialContext
+}
+
+func (p *Proxy) now() time.Time { return time.Now() }
+
+func (p *Proxy) start() error {
+	if err := p.connect(); err != nil {
+		return err
+	}
+	if err := p.startControl(); err != nil {
+		return err
+	}
+	if err := p.startRequests(); err != nil {
+		return err
+	}
+	var err error
+	p.admin, err = admin.Start(admin.Config{
+		Address:  p.settings.Listen.Admin,
+		Ready:    p.readiness,
+		Status:   func() any { return p.Status() },
+		Registry: p.registry,
+	})
+	return err
+}
+
+// connect opens the platform store, the address for peers and the connections
+// to them.
+func (p *Proxy) connect() error {
+	s := p.settings
+	var err error
+	p.server, err = peer.Listen(s.Listen.Peers, p.registry)
+	if err != nil {
+		return err
+	}
+	p.identity = peer.Identity{
+		Host:        s.Host,
+		Domain:      s.FailureDomain,
+		Address:     p.server.Address(),
+		Incarnation: uint64(time.Now().UnixNano()),
+	}
+	p.peers = peer.NewPool(peer.WithDial(p.dial), peer.WithTraffic(p.registry))
+	p.store, err = platform.Dial(context.Background(), platform.Options{
+		Endpoints: s.Platform.Endpoints,
+		Timeout:   s.Platform.Timeout,
+		DialFunc: func(ctx context.Context, address string) (net.Conn, error) {
+			return p.dial(ctx, "tcp", address)
+		},
+	})
+	return err
+}
+
+// startControl starts membership, elections, records, failover and shares.
+func (p *Proxy) startControl() error {
+	if err := p.newControl(); err != nil {
+		return err
+	}
+	p.members.Register(p.server)
+	p.records.Register(p.server)
+	p.failover.Register(p.server)
+	p.shares.Register(p.server)
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stopControl = cancel
+	p.feed.Subscribe(func(snapshot *records.Snapshot) {
+		p.weights.Apply(snapshot, p.now())
+		p.members.SetRevision(snapshot.Revision)
+	})
+	p.run("peer server", func(context.Context) error { return p.server.Serve() }, ctx)
+	p.run("membership", p.members.Run, ctx)
+	p.run("elector", p.elector.Run, ctx)
+	p.run("records", p.records.Run, ctx)
+	p.run("failover", p.failover.Run, ctx)
+	p.run("shares", p.shares.Run, ctx)
+	return nil
+}
+
+func (p *Proxy) newControl() error {
+	s := p.settings
+	p.members = membership.NewRunner(membership.Options{
+		Self:   p.identity,
+		Seeds:  s.Peers.Seeds,
+		Peers:  p.peers,
+		Log:    p.log.Named("membership"),
+		Digest: p.digest,
+	})
+	p.elector = control.NewElector(control.Options{
+		Self:     p.identity,
+		Store:    p.store,
+		View:     p.members,
+		Changed:  p.controlChanged,
+		Log:      p.log.Named("control"),
+		Registry: p.registry,
+	})
+	var err error
+	p.records, err = records.NewRunner(records.RunnerOptions{
+		Identity: p.identity,
+		Domains:  s.FailureDomains,
+		Store:    p.store,
+		Pool:     p.peers,
+		View:     p.members,
+		Relay:    p.elector.Relay,
+		Seeds:    s.Peers.Seeds,
+		Feed:     p.feed,
+		Log:      p.log.Named("records"),
+		Seed:     p.identity.Incarnation,
+	})
+	if err != nil {
+		return err
+	}
+	password, err := p.backendPassword()
+	if err != nil {
+		return err
+	}
+	if s.Backend.ControlPassword != "" {
+		password = s.Backend.ControlPassword
+	}
+	p.failover = failover.NewRunner(failover.Options{
+		Self:    p.identity,
+		Feed:    p.feed,
+		Buckets: p.elector,
+		Dialer: backend.PGDialer{
+			Password: password,
+			Timeout:  s.Backend.ConnectTimeout,
+			DialFunc: p.dial,
+		},
+		Topology:     p.topology,
+		View:         p.members,
+		Peers:        p.peers,
+		Log:          p.log.Named("failover"),
+		Metrics:      p.registry,
+		SingleDomain: len(s.FailureDomains) == 1,
+		Claims:       p.members.SetBuckets,
+	})
+	p.members.OnDigest(func(from membership.Member, d membership.Digest) {
+		p.failover.OnDigest(from, d.TopologyHash)
+	})
+	p.shares = shares.New(shares.Options{
+		Identity: p.identity,
+		Feed:     p.feed,
+		Members:  p.members,
+		Buckets:  p.elector,
+		Peers:    p.peers,
+		Metrics:  p.registry,
+		Log:      p.log.Named("shares"),
+	})
+	return nil
+}
+
+func (p *Proxy) digest() membership.Digest {
+	return membership.Digest{
+		Revision:     p.feed.Current().Revision,
+		ConfirmedAge: -1,
+		TopologyHash: p.topology.Hash(),
+	}
+}
+
+func (p *Proxy) controlChanged() {
+	p.members.SetRelay(p.elector.Relay())
+}
+
+// run starts a part of the daemon and logs its end.
+func (p *Proxy) run(name string, part func(context.Context) error, ctx context.Context) {
+	p.running.Go(func() {
+		if err := part(ctx); err != nil && ctx.Err() == nil {
+			p.log.Error("part of the proxy ended", zap.String("part", name), zap.Error(err))
+		}
+	})
+}
+
+func (p *Proxy) backendPassword() (string, error) {
+	if p.settings.Backend.PasswordFile == "" {
+		return p.settings.Backend.Password, nil
+	}
+	content, err := os.ReadFile(p.settings.Backend.PasswordFile)
+	if err != nil {
+		return "", fmt.Errorf("backend.password_file: %w", err)
+	}
+	return strings.TrimRight(string(content), "\r\n"), nil
+}
+
+// startRequests starts the caller side.
+func (p *Proxy) startRequests() error {
+	config, err := p.frontendConfig()
+	if err != nil {
+		return err
+	}
+	p.frontend = frontend.New(config)
+	p.callers, err = net.Listen("tcp", p.settings.Listen.Callers)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	p.running.Go(func() { _ = p.frontend.Serve(p.callers) })
+	return nil
+}
+
+func (p *Proxy) tlsConfig() (*tls.Config, error) {
+	if p.settings.TLS.CertificateFile == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(p.settings.TLS.CertificateFile, p.settings.TLS.KeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("tls: %w", err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
+}
+
+// CallerAddress returns the address that callers connect to.
+func (p *Proxy) CallerAddress() string { return p.callers.Addr().String() }
+
+// PeerAddress returns the address for other proxies.
+func (p *Proxy) PeerAddress() string { return p.server.Address() }
+
+// AdminAddress returns the address of the admin server.
+func (p *Proxy) AdminAddress() string { return p.admin.Address() }
+
+// Registry returns the proxy's metrics.
+func (p *Proxy) Registry() metrics.Registry { return p.registry }
+
+func (p *Proxy) confirmed(now time.Time) bool { return p.records.Confirmed(now) }
+
+// readiness tells the balancer whether to send callers here.
+func (p *Proxy) readiness() admin.Readiness {
+	snapshot := p.feed.Current()
+	switch {
+	case p.draining.Load():
+		return admin.Readiness{Reason: "draining"}
+	case snapshot.Revision == 0:
+		return admin.Readiness{Reason: "no configuration yet"}
+	case snapshot.HostLeaving(p.identity.Host, p.identity.Domain):
+		return admin.Readiness{Reason: "taken out of service by a record"}
+	default:
+		return admin.Readiness{Ready: true}
+	}
+}
+
+// Drain ends the proxy gracefully: it turns not ready, lets the balancer see
+// that, ends sessions at transaction boundaries and hands control duties back.
+func (p *Proxy) Drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, p.settings.Drain.Timeout)
+	defer cancel()
+	p.log.Info("drain begins", zap.String("decision", "drain"), zap.String("host", p.identity.Host))
+	p.draining.Store(true)
+	p.members.SetDraining(true)
+	select {
+	case <-time.After(p.settings.Drain.ReadinessDelay):
+	case <-ctx.Done():
+	}
+	err := p.frontend.Drain(ctx)
+	err = errors.Join(err, p.shares.Drain(ctx))
+	p.members.Leave(ctx)
+	p.Close()
+	p.log.Info("drain ended", zap.String("decision", "drain"), zap.Error(err))
+	return err
+}
+
+// Close ends the proxy at once; open transactions are rolled back by the
+// instances.
+func (p *Proxy) Close() {
+	p.closeOnce.Do(func() {
+		if p.admin != nil {
+			p.admin.Stop()
+		}
+		if p.frontend != nil {
+			p.frontend.Close()
+		}
+		if p.stopControl != nil {
+			p.stopControl()
+		}
+		if p.server != nil {
+			p.server.Stop()
+		}
+		p.running.Wait()
+		if p.peers != nil {
+			_ = p.peers.Close()
+		}
+		if p.store != nil {
+			_ = p.store.Close()
+		}
+	})
+}
