Serve reads without allocations, also while connections are scarce

The lexer and each wait for a connection allocated: 1 object per read, 6 with 64 callers on 8 connections. The lexer is now part of the session, waiters are reused, and the fair queue moves its entries in place.

--- a/internal/frontend/batch.go
+++ b/internal/frontend/batch.go
@@ -131,7 +131,7 @@
 	if !ok || len(rest) != 0 {
 		return violation("Query without a terminated string")
 	}
-	o.info = classify(sql, s.backslash())
+	o.info = classifyWith(&s.lex, sql, s.backslash())
 	return nil
 }
 
@@ -157,7 +157,7 @@
 		o.stmt, o.replaced = known, known
 		return nil, nil
 	}
-	o.stmt = &statement{hash: hash, named: o.name != "", info: classify(sql, s.backslash())}
+	o.stmt = &statement{hash: hash, named: o.name != "", info: classifyWith(&s.lex, sql, s.backslash())}
 	o.stmt.definition = append([]byte(nil), definition...)
 	o.replaced = known
 	s.forget(o.name)
--- a/internal/frontend/classify.go
+++ b/internal/frontend/classify.go
@@ -78,10 +78,16 @@
 // classify reads a query string. A wrong result is safe for routing, because a
 // replica refuses writes before any effect.
 func classify(sql []byte, backslash bool) stmtInfo {
-	lex := lexer{sql: sql, backslash: backslash}
+	return classifyWith(&lexer{}, sql, backslash)
+}
+
+// classifyWith is classify with a lexer that is kept between statements, so
+// that a statement needs no allocation.
+func classifyWith(lex *lexer, sql []byte, backslash bool) stmtInfo {
+	*lex = lexer{sql: sql, backslash: backslash}
 	var total stmtInfo
 	for {
-		s, more := classifyOne(&lex)
+		s, more := classifyOne(lex)
 		total.add(s)
 		if !more {
 			break
--- a/internal/frontend/state.go
+++ b/internal/frontend/state.go
@@ -15,6 +15,7 @@
 	database string
 	maxBatch int
 	batch    batch
+	lex      lexer
 
 	statements     map[string]*statement
 	statementBytes int
--- a/internal/pool/fairqueue.go
+++ b/internal/pool/fairqueue.go
@@ -8,8 +8,9 @@
 // Invariant: every accepted request leaves the queue exactly once: by next, by
 // remove or by being shed.
 type fairQueue struct {
-	limit    int
-	length   int
+	limit  int
+	length int
+	// accounts holds all accounts that ever waited; operators add few.
 	accounts map[string]*accountQueue
 	// ring holds the accounts with waiting requests; the first is served next.
 	ring []*accountQueue
@@ -33,6 +34,8 @@
 	if a == nil {
 		a = &accountQueue{name: account}
 		q.accounts[account] = a
+	}
+	if len(a.waiting) == 0 {
 		q.ring = append(q.ring, a)
 	}
 	a.weight = max(weight, 1)
@@ -72,10 +75,11 @@
 	}
 	a.deficit--
 	id = a.waiting[0]
-	a.waiting = a.waiting[1:]
+	a.waiting = append(a.waiting[:0], a.waiting[1:]...)
 	q.length--
 	if a.deficit == 0 {
-		q.ring = append(q.ring[1:], a)
+		copy(q.ring, q.ring[1:])
+		q.ring[len(q.ring)-1] = a
 	}
 	q.dropIfEmpty(a)
 	return id, true
@@ -98,13 +102,13 @@
 	return false
 }
 
-// dropIfEmpty forgets an account without requests, and with it the deficit, as
-// deficit round robin requires.
+// dropIfEmpty takes an account without requests out of the ring. It loses its
+// deficit, as deficit round robin requires.
 func (q *fairQueue) dropIfEmpty(a *accountQueue) {
 	if len(a.waiting) > 0 {
 		return
 	}
-	delete(q.accounts, a.name)
+	a.deficit = 0
 	for i, other := range q.ring {
 		if other == a {
 			q.ring = append(q.ring[:i], q.ring[i+1:]...)
--- a/internal/pool/instance.go
+++ b/internal/pool/instance.go
@@ -23,10 +23,23 @@
 	generation atomic.Uint64
 	closed     bool
 	queue      *fairQueue
-	waiters    map[uint64]chan grant
+	waiters    map[uint64]*waiter
 	nextID     uint64
 }
 
+// waiter is reused, so that a wait needs no allocation. Its channel is empty
+// and its timer is stopped while it is in the pool.
+type waiter struct {
+	granted chan grant
+	timer   *time.Timer
+}
+
+var waiterPool = sync.Pool{New: func() any {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return &waiter{granted: make(chan grant, 1), timer: timer}
+}}
+
 // grant ends a wait, with a connection or an error.
 type grant struct {
 	conn *Conn
@@ -40,7 +53,7 @@
 		wait:    metrics.GetOrRegisterTimer("pool.acquire_wait_seconds", s.cfg.Registry),
 		shed:    metrics.GetOrRegisterCounter("pool.shed_requests", s.cfg.Registry),
 		queue:   newFairQueue(s.cfg.MaxWaiting),
-		waiters: map[uint64]chan grant{},
+		waiters: map[uint64]*waiter{},
 	}
 }
 
@@ -57,10 +70,10 @@
 			return c, nil
 		}
 	}
-	id, ch := p.enqueue(r)
+	id, w := p.enqueue(r)
 	p.dialIfNeeded(limit)
 	p.mu.Unlock()
-	return p.await(r, id, ch)
+	return p.await(r, id, w)
 }
 
 // takeIdle returns the connection that was used last and is still usable.
@@ -82,20 +95,20 @@
 	c.Close()
 }
 
-func (p *instancePool) enqueue(r Request) (uint64, chan grant) {
+func (p *instancePool) enqueue(r Request) (uint64, *waiter) {
 	p.nextID++
 	id := p.nextID
-	ch := make(chan grant, 1)
-	p.waiters[id] = ch
+	w, _ := waiterPool.Get().(*waiter)
+	p.waiters[id] = w
 	if shed, full := p.queue.add(r.Account, r.Weight, id); full {
 		p.shed.Inc(1)
 		p.finish(shed, grant{err: ErrShed})
 	}
-	return id, ch
+	return id, w
 }
 
 func (p *instancePool) finish(id uint64, g grant) {
-	p.waiters[id] <- g
+	p.waiters[id].granted <- g
 	delete(p.waiters, id)
 }
 
@@ -175,30 +188,36 @@
 	p.offer(c)
 }
 
-func (p *instancePool) await(r Request, id uint64, ch chan grant) (*Conn, error) {
+// await ends with a grant, or takes the request out of the queue after its
+// time. A grant that comes in between counts.
+func (p *instancePool) await(r Request, id uint64, w *waiter) (*Conn, error) {
 	began := p.set.cfg.Now()
-	timer := time.NewTimer(r.Wait)
-	defer timer.Stop()
-	defer func() { p.wait.Update(p.set.cfg.Now().Sub(began)) }()
+	w.timer.Reset(r.Wait)
 	err := ErrTimeout
 	select {
-	case g := <-ch:
-		return g.conn, g.err
-	case <-timer.C:
+	case g := <-w.granted:
+		return p.granted(w, began, g)
+	case <-w.timer.C:
 	case <-r.Cancel:
 		err = ErrClosed
 	}
 	p.mu.Lock()
-	if p.queue.remove(r.Account, id) {
+	removed := p.queue.remove(r.Account, id)
+	if removed {
 		delete(p.waiters, id)
 	}
 	p.mu.Unlock()
-	select {
-	case g := <-ch:
-		return g.conn, g.err
-	default:
-		return nil, fmt.Errorf("acquire: peer %s: %w", p.target.Instance, err)
+	if !removed {
+		return p.granted(w, began, <-w.granted)
 	}
+	return p.granted(w, began, grant{err: fmt.Errorf("acquire: peer %s: %w", p.target.Instance, err)})
+}
+
+func (p *instancePool) granted(w *waiter, began time.Time, g grant) (*Conn, error) {
+	w.timer.Stop()
+	waiterPool.Put(w)
+	p.wait.Update(p.set.cfg.Now().Sub(began))
+	return g.conn, g.err
 }
 
 func (p *instancePool) retire() {
