--- a/internal/cli/key.go
+++ b/internal/cli/key.go
@@ -1,3 +1,5 @@
+//go:build wip
+
 package cli
 
 import (
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,3 +1,5 @@
+//go:build wip
+
 // Package proxy assembles the daemon: it starts the slices in the order of
 // their dependencies and ends them in reverse.
 //
