--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -12,7 +12,7 @@
 	"github.com/bramleylever/bramleylever/internal/keys"
 )
 
-func TestKeys(t *testing.T) {
+func TestPromiseKeys(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "keys")
 }
