Add the operators' commands on records and keys

Operators control the fleet only by records and keys: config validate, apply, get, history and diff; key grant, withdraw and list; and leave, drain and return for domains, hosts and backends.

--- /dev/null
+++ b/internal/cli/config_test.go
@@ -0,0 +1,181 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/grpc"
+
+	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/cli"
+	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/platform/standin"
+	"github.com/bramleylever/bramleylever/internal/records"
+)
+
+func TestCommands(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "commands")
+}
+
+const example = "../../examples/cooperative/records.json"
+
+// outcome is what a command line left behind.
+type outcome struct {
+	code     int
+	out, err string
+}
+
+func run(args ...string) outcome {
+	var out, errOut bytes.Buffer
+	code := cli.Run(args, strings.NewReader(""), &out, &errOut)
+	return outcome{code, out.String(), errOut.String()}
+}
+
+// fixedHost answers Fetch with one revision.
+type fixedHost struct {
+	peerv1.UnimplementedRecordsServer
+	revision int64
+}
+
+func (h fixedHost) Fetch(context.Context, *peerv1.FetchRequest) (*peerv1.FetchReply, error) {
+	return &peerv1.FetchReply{Revision: h.revision}, nil
+}
+
+func startHost(revision int64) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := grpc.NewServer()
+	peerv1.RegisterRecordsServer(server, fixedHost{revision: revision})
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(server.Stop)
+	return listener.Addr().String()
+}
+
+var _ = Describe("commands on records", func() {
+	var address string
+	on := func(args ...string) outcome {
+		return run(append(args, "--platform", address)...)
+	}
+	snapshot := func() *records.Snapshot {
+		store, err := platform.Dial(context.Background(), platform.Options{Endpoints: []string{address}})
+		Expect(err).NotTo(HaveOccurred())
+		defer store.Close()
+		set, revision, err := records.NewClient(store, "test").List(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		s, err := set.Snapshot(revision)
+		Expect(err).NotTo(HaveOccurred())
+		return s
+	}
+	BeforeEach(func() {
+		server, err := standin.Start("127.0.0.1:0", standin.Options{})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(server.Close)
+		address = server.Address()
+		Expect(on("config", "apply", example, "--operator", "ann").code).To(Equal(cli.ExitOK))
+	})
+
+	// Guards against an operator who overwrites a change that was made after
+	// the file was read, and against exit codes that scripts cannot rely on.
+	It("refuses a file that another change made stale", func() {
+		read := on("config", "get", "account", "audit", "--output", "json")
+		Expect(read.code).To(Equal(cli.ExitOK))
+		file := filepath.Join(GinkgoT().TempDir(), "audit.json")
+		mine := strings.Replace(read.out, `"burst": 40`, `"burst": 41`, 1)
+		Expect(mine).NotTo(Equal(read.out))
+		Expect(os.WriteFile(file, []byte(mine), 0o600)).To(Succeed())
+		Expect(on("config", "apply", file, "--operator", "bob").code).To(Equal(cli.ExitOK))
+
+		Expect(os.WriteFile(file, []byte(strings.Replace(mine, "41", "42", 1)), 0o600)).To(Succeed())
+		lost := on("config", "apply", file, "--operator", "ann")
+		Expect(lost.code).To(Equal(cli.ExitConflict))
+		Expect(lost.err).To(ContainSubstring(`by "bob"`))
+		Expect(snapshot().Accounts["audit"].Burst).To(Equal(41.0))
+		Expect(on("config", "history").out).To(ContainSubstring("bob\taccount/audit"))
+	})
+
+	// Guards against keys that are granted without a secret or stay usable.
+	It("grants and withdraws a key", func() {
+		granted := on("key", "grant", "audit", "--output", "json")
+		Expect(granted.code).To(Equal(cli.ExitOK))
+		var report struct {
+			KeyID  string `json:"key_id"`
+			Secret string `json:"secret"`
+		}
+		Expect(json.Unmarshal([]byte(granted.out), &report)).To(Succeed())
+		Expect(report.Secret).NotTo(BeEmpty())
+		Expect(snapshot().Keys[report.KeyID].Account).To(Equal("audit"))
+		Expect(on("config", "get").out).NotTo(ContainSubstring(report.Secret))
+		Expect(on("key", "list", "audit").out).To(ContainSubstring("granted"))
+
+		Expect(on("key", "withdraw", report.KeyID).code).To(Equal(cli.ExitOK))
+		Expect(snapshot().Keys[report.KeyID].Withdrawn).To(BeTrue())
+		Expect(on("key", "list", "audit").out).To(ContainSubstring("withdrawn"))
+	})
+
+	// Guards against a withdrawal that is reported as done while a host does
+	// not know of it yet.
+	DescribeTable("reports hosts that have not confirmed",
+		func(revisions []int64, code int) {
+			var hosts []string
+			for _, revision := range revisions {
+				hosts = append(hosts, startHost(revision))
+			}
+			result := on("domain", "leave", "musanze-a", "--hosts", strings.Join(hosts, ","), "--wait", "300ms")
+			Expect(result.code).To(Equal(code))
+			if code == cli.ExitUnconfirmed {
+				Expect(result.err).To(ContainSubstring(hosts[len(hosts)-1]))
+				Expect(result.err).NotTo(ContainSubstring(hosts[0]))
+			}
+		},
+		Entry("all confirmed", []int64{100, 100}, cli.ExitOK),
+		Entry("one behind", []int64{100, 1}, cli.ExitUnconfirmed),
+	)
+
+	// Guards against a drain that is recorded for the wrong thing.
+	DescribeTable("take things out of service and back",
+		func(args []string, states func(*records.Snapshot) map[string]records.ServiceState, state records.ServiceState) {
+			Expect(on(args...).code).To(Equal(cli.ExitOK))
+			Expect(states(snapshot())).To(Equal(map[string]records.ServiceState{args[2]: state}))
+		},
+		Entry("domain leaves", []string{"domain", "leave", "musanze-a"},
+			func(s *records.Snapshot) map[string]records.ServiceState { return s.Domains }, records.StateLeaving),
+		Entry("domain returns", []string{"domain", "return", "musanze-a"},
+			func(s *records.Snapshot) map[string]records.ServiceState { return s.Domains }, records.StateActive),
+		Entry("host drains", []string{"host", "drain", "shed-a1"},
+			func(s *records.Snapshot) map[string]records.ServiceState { return s.Hosts }, records.StateLeaving),
+		Entry("backend drains", []string{"backend", "drain", "slots1-1"},
+			func(s *records.Snapshot) map[string]records.ServiceState { return s.Backends }, records.StateLeaving),
+		Entry("backend returns", []string{"backend", "return", "slots1-1"},
+			func(s *records.Snapshot) map[string]records.ServiceState { return s.Backends }, records.StateActive),
+	)
+
+	// Guards against a wrong command line that changes something, and against
+	// a diff that hides a change.
+	It("refuses wrong input and shows no difference after apply", func() {
+		Expect(on("config", "diff", example).out).To(BeEmpty())
+		Expect(on("key", "grant", "nobody").code).To(Equal(cli.ExitFailure))
+		Expect(on("backend", "drain", "slots9-1").err).To(ContainSubstring("unknown instance"))
+		Expect(on("key", "withdraw", "k0").err).To(ContainSubstring("does not exist"))
+		Expect(on("config", "get", "--output", "yaml").code).To(Equal(cli.ExitUsage))
+		Expect(run("config", "validate", "no-such-file").code).To(Equal(cli.ExitUsage))
+		valid := run("config", "validate", example, "../../examples/snow/settings.json")
+		Expect(valid.code).To(Equal(cli.ExitOK), valid.err)
+	})
+
+	// Guards against a command that hangs or claims success without the store.
+	It("fails if the store is out of reach", func() {
+		started := time.Now()
+		Expect(run("config", "get", "--platform", "127.0.0.1:1").code).To(Equal(cli.ExitFailure))
+		Expect(time.Since(started)).To(BeNumerically("<", time.Minute))
+	})
+})
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -70,7 +70,8 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return &ExitError{Code: ExitUsage, Err: err}
 	})
-	root.AddCommand(newStandin(env), newVersion(env))
+	root.AddCommand(newConfig(env), newKey(env), newStandin(env), newVersion(env))
+	root.AddCommand(newStates(env)...)
 	return root
 }
 
