--- a/internal/cli/key.go
+++ b/internal/cli/key.go
@@ -1,9 +1,8 @@
-//go:build wip
-
 package cli
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 
 	"github.com/spf13/cobra"
@@ -13,22 +12,26 @@
 )
 
 func newKey(env environment) *cobra.Command {
-	flags := &storeFlags{}
 	cmd := &cobra.Command{
 		Use:   "key",
 		Short: "Grant, withdraw and list callers' keys",
 	}
-	flags.add(cmd)
-	cmd.AddCommand(newKeyGrant(env, flags), newKeyWithdraw(env, flags), newKeyList(env, flags))
+	cmd.AddCommand(newKeyGrant(env), newKeyWithdraw(env), newKeyList(env))
 	return cmd
 }
 
-func newKeyGrant(env environment, flags *storeFlags) *cobra.Command {
-	return &cobra.Command{
+func newKeyGrant(env environment) *cobra.Command {
+	o := &operation{env: env}
+	cmd := &cobra.Command{
 		Use:   "grant ACCOUNT",
-		Short: "Create a key of a client account and print its secret once",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
+		Short: "Create a key of a client account",
+		Long: `Create a key of a client account and print its id and secret. The secret is
+shown only here; records keep a SCRAM-SHA-256 verifier. Callers use the id as
+the user and the secret as the password.`,
+		Example: `  bramleylever key grant growers-north --operator ann
+  bramleylever key grant lodges --output json`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
 			generated, err := keys.Generate(args[0])
 			if err != nil {
 				return err
@@ -37,108 +40,148 @@
 			if err != nil {
 				return err
 			}
-			return flags.run(func(ctx context.Context, client *records.Client) error {
-				result, err := client.Apply(ctx, []records.Record{record})
-				if err != nil {
-					return err
-				}
-				if flags.output == "json" {
-					return printJSON(env.out, map[string]any{"id": generated.Key.ID,
-						"secret": generated.Secret, "revision": result.Revision})
-				}
-				fmt.Fprintf(env.out, "key %s of account %s granted at revision %d\nsecret %s\n",
-					generated.Key.ID, args[0], result.Revision, generated.Secret)
-				return nil
-			})
+			return o.change(cmd.Context(), func(context.Context, *records.Client) ([]records.Record, error) {
+				return []records.Record{record}, nil
+			}, changeReport{KeyID: generated.Key.ID, Secret: generated.Secret})
 		},
 	}
+	o.flags(cmd, true)
+	return cmd
 }
 
-func newKeyWithdraw(env environment, flags *storeFlags) *cobra.Command {
-	var wait waitFlags
+func newKeyWithdraw(env environment) *cobra.Command {
+	o := &operation{env: env}
 	cmd := &cobra.Command{
-		Use:   "withdraw ID",
-		Short: "Withdraw a key, also on connections that use it",
-		Long: `Withdraw a key. With --admin, the command waits until every live host has the
-change in force; it exits with 3 and names the hosts that have not confirmed it.`,
-		Example: "  bramleylever key withdraw kabc --admin 127.0.0.1:8432",
+		Use:   "withdraw KEY-ID",
+		Short: "Withdraw a key, also on live connections",
+		Long: `Withdraw a key. Hosts close its connections within seconds. The exit code is 3
+if one of --hosts did not confirm the withdrawal in time.`,
+		Example: `  bramleylever key withdraw k4f2a --hosts 127.0.0.1:7432,127.0.0.1:7433`,
 		Args:    cobra.ExactArgs(1),
-		RunE: func(_ *cobra.Command, args []string) error {
-			return flags.run(func(ctx context.Context, client *records.Client) error {
-				set, _, err := client.List(ctx)
-				if err != nil {
-					return err
-				}
-				snapshot, err := set.Snapshot(0)
-				if err != nil {
-					return err
-				}
-				key, ok := snapshot.Keys[args[0]]
-				if !ok {
-					return fmt.Errorf("key %q does not exist", args[0])
-				}
-				key.Withdrawn = true
-				record, err := records.KeyRecord(key)
-				if err != nil {
-					return err
-				}
-				result, err := client.Apply(ctx, []records.Record{record})
-				if err != nil {
-					return err
-				}
-				fmt.Fprintf(env.out, "key %s withdrawn at revision %d\n", args[0], result.Revision)
-				return wait.untilInForce(ctx, env, result.Revision)
-			})
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return o.change(cmd.Context(), func(ctx context.Context, client *records.Client) ([]records.Record, error) {
+				return withdrawal(ctx, client, args[0])
+			}, changeReport{})
 		},
 	}
-	wait.add(cmd)
+	o.flags(cmd, true)
 	return cmd
 }
 
-func newKeyList(env environment, flags *storeFlags) *cobra.Command {
-	return &cobra.Command{
-		Use:   "list",
-		Short: "List keys, without secrets or verifiers",
-		Args:  cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error {
-			return flags.run(func(ctx context.Context, client *records.Client) error {
+// withdrawal returns the change that withdraws a key.
+func withdrawal(ctx context.Context, client *records.Client, id string) ([]records.Record, error) {
+	set, revision, err := client.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	snapshot, invalid := set.Snapshot(revision)
+	key, ok := snapshot.Keys[id]
+	if !ok {
+		if _, exists := set.Get(records.KindKey, id); exists {
+			return nil, fmt.Errorf("key %s: record is not valid: %w", id, invalid)
+		}
+		return nil, fmt.Errorf("key %s does not exist at revision %d", id, revision)
+	}
+	current, _ := set.Get(records.KindKey, id)
+	key.Withdrawn = true
+	record, err := records.KeyRecord(key)
+	record.ModRevision = current.ModRevision
+	return []records.Record{record}, err
+}
+
+// listedKey is one line of key list.
+type listedKey struct {
+	ID       string `json:"id"`
+	Account  string `json:"account"`
+	State    string `json:"state"`
+	Revision int64  `json:"revision"`
+}
+
+func newKeyList(env environment) *cobra.Command {
+	o := &operation{env: env}
+	cmd := &cobra.Command{
+		Use:   "list [ACCOUNT]",
+		Short: "List keys",
+		Example: `  bramleylever key list
+  bramleylever key list lodges --output json`,
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return o.withClient(cmd.Context(), func(ctx context.Context, client *records.Client) error {
 				set, _, err := client.List(ctx)
 				if err != nil {
 					return err
 				}
-				return listKeys(env, flags, set)
+				out := listKeys(set, args)
+				return o.print(out, func() {
+					for _, k := range out {
+						fmt.Fprintf(env.out, "%s\t%s\t%s\trevision %d\n", k.ID, k.Account, k.State, k.Revision)
+					}
+				})
 			})
 		},
 	}
+	o.flags(cmd, false)
+	return cmd
 }
 
-// keyEntry is what list shows of a key.
-type keyEntry struct {
-	ID        string `json:"id"`
-	Account   string `json:"account"`
-	Withdrawn bool   `json:"withdrawn"`
-	Revision  int64  `json:"revision"`
-}
-
-func listKeys(env environment, flags *storeFlags, set *records.Set) error {
-	snapshot, err := set.Snapshot(0)
-	if err != nil {
-		return err
-	}
-	entries := []keyEntry{}
+func listKeys(set *records.Set, accounts []string) []listedKey {
+	out := []listedKey{}
 	for _, r := range set.Records() {
 		if r.Kind != records.KindKey {
 			continue
 		}
-		key := snapshot.Keys[r.Name]
-		entries = append(entries, keyEntry{key.ID, key.Account, key.Withdrawn, r.ModRevision})
+		var body struct {
+			Account   string `json:"account"`
+			Withdrawn bool   `json:"withdrawn"`
+		}
+		state := "granted"
+		if json.Unmarshal(r.Body, &body) != nil {
+			state = "invalid"
+		} else if body.Withdrawn {
+			state = "withdrawn"
+		}
+		if len(accounts) == 0 || body.Account == accounts[0] {
+			out = append(out, listedKey{ID: r.Name, Account: body.Account, State: state, Revision: r.ModRevision})
+		}
 	}
-	if flags.output == "json" {
-		return printJSON(env.out, entries)
+	return out
+}
+
+// newState returns a command that takes something of a kind out of service and
+// one that brings it back; an empty name leaves one out.
+func newState(env environment, kind records.Kind, short, leave, comeBack string) *cobra.Command {
+	cmd := &cobra.Command{Use: string(kind), Short: short}
+	if leave != "" {
+		cmd.AddCommand(newStateChange(env, kind, leave, "Take out of service: no new work after a few seconds", records.StateLeaving))
 	}
-	var rows [][]any
-	for _, e := range entries {
-		rows = append(rows, []any{e.ID, e.Account, e.Withdrawn, e.Revision})
+	if comeBack != "" {
+		cmd.AddCommand(newStateChange(env, kind, comeBack, "Bring back into service", records.StateActive))
+	}
+	return cmd
+}
+
+func newStateChange(env environment, kind records.Kind, use, short string, state records.ServiceState) *cobra.Command {
+	o := &operation{env: env}
+	cmd := &cobra.Command{
+		Use:     use + " NAME",
+		Short:   short,
+		Example: fmt.Sprintf("  bramleylever %s %s NAME --operator ann", kind, use),
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return o.change(cmd.Context(), func(context.Context, *records.Client) ([]records.Record, error) {
+				return []records.Record{records.StateRecord(kind, args[0], state)}, nil
+			}, changeReport{})
+		},
+	}
+	o.flags(cmd, true)
+	return cmd
+}
+
+// newStates returns the commands for failure domains, hosts and backends.
+func newStates(env environment) []*cobra.Command {
+	return []*cobra.Command{
+		newState(env, records.KindDomain, "Take a failure domain out of service and bring it back", "leave", "return"),
+		newState(env, records.KindHost, "Drain a proxy host", "drain", ""),
+		newState(env, records.KindBackend, "Drain a backend server and bring it back", "drain", "return"),
 	}
-	return printTable(env.out, []any{"ID", "ACCOUNT", "WITHDRAWN", "REVISION"}, rows)
 }
