--- a/internal/failover/runner_test.go
+++ b/internal/failover/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -29,7 +30,7 @@
 type fixedView []membership.Member
 
 func (v fixedView) Self() membership.Member      { return v[0] }
-func (v fixedView) Members() []membership.Member { return v }
+func (v fixedView) Members() []membership.Member { return slices.Clone(v) }
 
 func feedOf(instances ...string) *records.Feed {
 	db := records.Database{Name: "ledger"}
