Open a transaction again that a switchover refused at its first write

A primary that quiesces refuses the first write of a transaction that had only been begun, so every such transaction failed in a planned switchover. Nothing but the success of BEGIN reached the caller by then. The proxy now opens the transaction on the next primary and sends the statement there; the batch is sent only after BEGIN succeeded, so it cannot run outside of a transaction. Also records the time of the wait for replication.

--- a/internal/frontend/outcome_test.go
+++ b/internal/frontend/outcome_test.go
@@ -234,6 +234,32 @@
 		Expect(one(conn, "SELECT v FROM t")).To(Equal("b:1"))
 	})
 
+	// Guards against failed transactions in a planned switchover that came
+	// between BEGIN and the first write.
+	DescribeTable("opens a transaction again that an instance refused at its first write",
+		func(mode string) {
+			conn := b.connect("&default_query_exec_mode=" + mode)
+			defer conn.Close(ctx())
+			Expect(exec(conn, "BEGIN")).To(BeEmpty())
+			b.primary.set(func() { b.primary.primary = false })
+			time.AfterFunc(100*time.Millisecond, func() {
+				b.replica.set(func() { b.replica.primary = true })
+				b.topology.Update(topology.Group{Database: "db", Term: term(2), Primary: "b"})
+			})
+			Expect(exec(conn, insert)).To(BeEmpty())
+			Expect(exec(conn, insert)).To(BeEmpty())
+			Expect(exec(conn, "COMMIT")).To(BeEmpty())
+			Expect(conn.PgConn().ParameterStatus("bramleylever.session_position")).To(Equal("db=1.1/2"))
+			Expect(exec(conn, "BEGIN")).To(BeEmpty())
+			Expect(exec(conn, insert)).To(BeEmpty())
+			b.replica.set(func() { b.replica.primary = false })
+			Expect(exec(conn, insert)).To(Equal("25006"))
+			Expect(exec(conn, "ROLLBACK")).To(BeEmpty())
+		},
+		Entry(nil, "simple_protocol"),
+		Entry(nil, "exec"),
+	)
+
 	// Guards against statements that are wrongly taken for reads.
 	It("forwards a write that a replica refused", func() {
 		refuse := failing("SELECT w", "25006")
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -167,9 +167,16 @@
 	}
 	c.SetDeadline(time.Now().Add(s.srv.cfg.AnswerTimeout))
 	messages := 0
+	var committed time.Time
 	for {
+		if s.x.plan.wait && s.x.status != 0 && committed.IsZero() {
+			committed = s.srv.cfg.Now()
+		}
 		if s.x.done() {
 			if !s.x.needsWait() {
+				if s.x.waited && !committed.IsZero() {
+					s.srv.metrics.replicateWait.Update(s.srv.cfg.Now().Sub(committed))
+				}
 				return nil
 			}
 			if err := s.sendLateWait(c); err != nil {
@@ -254,21 +261,25 @@
 	s.setRunning(c, kind)
 	s.x.begin(s.st, c, p, s.out)
 	began := s.srv.cfg.Now()
+	s.x.allowRetry = len(s.begin) > 0 && p.synced && !s.st.unsynced && !s.st.readOnly
 	_, err := s.sendBatch(c, p, guard{})
 	if err == nil {
 		err = s.relay(c)
 	}
 	s.srv.estimates.Of(c.Instance).Observe(s.srv.cfg.Now().Sub(began), err != nil, c.Applied, s.srv.cfg.Now())
 	if err != nil {
-		return s.lostTransaction(p)
+		return s.lostTransaction(c, p)
+	}
+	if s.x.readOnly {
+		s.release(c)
+		return s.runAgain(p)
 	}
 	return s.complete(c, p)
 }
 
 // lostTransaction handles the failure of a connection in a transaction. The
 // transaction is rolled back unless its commit may have been reached.
-func (s *session) lostTransaction(p *plan) bool {
-	c := s.conn
+func (s *session) lostTransaction(c *pool.Conn, p *plan) bool {
 	s.giveBack(c, false)
 	s.x.held = s.x.held[:0]
 	mayCommit := p.wait || s.st.endsHere() && !p.rollback || s.st.status == 'I'
@@ -315,6 +326,7 @@
 	} else {
 		s.st.unsynced = false
 	}
+	s.noteBegin(p, status)
 	s.settle(c, p, status)
 	x.status = status
 	if s.st.status == 'I' && !s.st.unsynced {
@@ -338,6 +350,31 @@
 	return s.deliver(p)
 }
 
+// noteBegin keeps the statement that opened a transaction until another one ran
+// in it.
+func (s *session) noteBegin(p *plan, status byte) {
+	if p.runs {
+		s.begin = s.begin[:0]
+	}
+	if s.st.status != 'I' || status != 'T' || p.class != ClassBegin || !p.synced {
+		return
+	}
+	for i := range s.st.batch.ops {
+		o := &s.st.batch.ops[i]
+		switch {
+		case o.kind == 'Q' && o.info.count == 1:
+			sql, _, _ := wire.CString(s.st.batch.body(o))
+			s.begin = append(s.begin[:0], sql...)
+		case o.kind == 'E' && len(s.begin) == 0:
+			sql, _, _ := wire.CString(o.stmt.definition)
+			s.begin = append(s.begin[:0], sql...)
+		case o.kind == 'E':
+			s.begin = s.begin[:0]
+			return
+		}
+	}
+}
+
 // settle records the transaction status and the tracked parameters.
 func (s *session) settle(c *pool.Conn, p *plan, status byte) {
 	x, st := &s.x, s.st
--- a/internal/frontend/route.go
+++ b/internal/frontend/route.go
@@ -24,6 +24,9 @@
 	failures int
 	// fallback reports that a replica could not serve the read.
 	fallback bool
+	// begin opens the transaction in which the request runs; it was opened
+	// before on an instance that then refused the first write.
+	begin []byte
 	// held is the size with which the request is in the queue; 0 outside.
 	held    int
 	changed <-chan struct{}
@@ -47,23 +50,41 @@
 // runRouted chooses an instance for a batch outside a transaction and runs it,
 // again if that is safe.
 func (s *session) runRouted(p *plan) bool {
-	now := s.srv.cfg.Now()
 	a := attempt{
 		plan:     p,
 		write:    p.class == ClassBegin || p.class == ClassWrite,
-		deadline: now.Add(s.srv.cfg.QueueTimeout),
+		deadline: s.srv.cfg.Now().Add(s.srv.cfg.QueueTimeout),
 		mark:     s.out.Written(),
 	}
 	s.srv.retries.request()
-	defer s.leaveQueue(&a)
+	return s.runAttempts(&a)
+}
+
+// runAgain runs the first batch of a transaction that was refused with 25006,
+// in a new transaction. The caller has seen nothing of the first one but the
+// success of BEGIN.
+func (s *session) runAgain(p *plan) bool {
+	a := attempt{
+		plan:     p,
+		write:    true,
+		begin:    s.begin,
+		deadline: s.srv.cfg.Now().Add(s.srv.cfg.QueueTimeout),
+		mark:     s.out.Written(),
+	}
+	return s.runAttempts(&a)
+}
+
+func (s *session) runAttempts(a *attempt) bool {
+	p := a.plan
+	defer s.leaveQueue(a)
 	for {
-		switch s.try(&a) {
+		switch s.try(a) {
 		case verdictDone:
 			return true
 		case verdictClose:
 			return false
 		case verdictWait:
-			if refused := s.waitForPrimary(&a); refused != nil {
+			if refused := s.waitForPrimary(a); refused != nil {
 				if s.ended(endedNotRun) {
 					return false
 				}
@@ -313,6 +334,12 @@
 // execute sends the request on a connection and reads the answer.
 func (s *session) execute(a *attempt, c *pool.Conn, target *routing.Candidate, g guard) verdict {
 	p := a.plan
+	if a.begin != nil {
+		if v, ok := s.reopen(a, c, target, g); !ok {
+			return v
+		}
+		g = guard{}
+	}
 	s.x.begin(s.st, c, p, s.out)
 	s.x.allowRetry = !p.readOnlyBlock
 	estimate := s.srv.estimates.Of(target.Instance)
@@ -338,6 +365,34 @@
 	return s.finished(s.complete(c, p))
 }
 
+// reopen checks the position and opens the transaction again. The batch is
+// only sent once that succeeded, because it would otherwise run outside of a
+// transaction.
+func (s *session) reopen(a *attempt, c *pool.Conn, target *routing.Candidate, g guard) (verdict, bool) {
+	s.ownPlan = plan{}
+	s.x.begin(s.st, c, &s.ownPlan, s.out)
+	b := c.Out.Buffer()
+	if g.kind != guardNone {
+		b = g.append(b)
+		s.x.expect(item{kind: itemGuard, hidden: true})
+	}
+	c.Out.SetBuffer(wire.AppendQuery(b, string(a.begin)))
+	s.x.expect(item{kind: itemSet, hidden: true})
+	err := c.Out.Flush()
+	if err == nil {
+		err = s.relay(c)
+	}
+	switch {
+	case err != nil:
+		return s.failed(a, c, target, false), false
+	case s.x.guardErr != "" || s.x.setErr != nil || s.x.ownStatus != 'T':
+		s.x.status = s.x.ownStatus
+		s.release(c)
+		return verdictWait, false
+	}
+	return 0, true
+}
+
 // untouched drops what was not yet written to the caller and reports that the
 // caller received nothing of the answer.
 func (s *session) untouched(a *attempt) bool {
@@ -350,6 +405,9 @@
 
 // failed handles a connection that failed during the request.
 func (s *session) failed(a *attempt, c *pool.Conn, target *routing.Candidate, sent bool) verdict {
+	if a.begin != nil {
+		return s.finished(s.lostTransaction(c, a.plan))
+	}
 	s.giveBack(c, false)
 	s.x.held = s.x.held[:0]
 	outcome := endedNotRun
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -57,6 +57,9 @@
 	ownPlan plan
 	input   routing.Input
 
+	// begin is the statement that opened the transaction as long as nothing
+	// else ran in it, so that it can be opened again on another instance.
+	begin []byte
 	// conn is the backend connection of an open transaction.
 	conn *pool.Conn
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -35,7 +35,8 @@
 	ErrClosed = fmt.Errorf("pool is closed: %w", outcome.ErrNotRun)
 )
 
-// Budget limits the connections that this host may hold.
+// Budget limits the connections that this host may hold. Its methods are called
+// for each request and must not block.
 type Budget interface {
 	// Limit returns the number of connections to an instance.
 	Limit(instance string, now time.Time) int
