--- a/internal/frontend/group_test.go
+++ b/internal/frontend/group_test.go
@@ -155,6 +155,31 @@
 	}
 }
 
+var _ = Describe("Reads at a stated age", func() {
+	// Guards against data older than the caller accepts, and against reads on
+	// the primary that replicas could serve.
+	DescribeTable("go to replicas that are fresh enough",
+		func(lag time.Duration, age, counter string) {
+			f := newFleet(lag)
+			defer f.close()
+			conn, err := f.connect(ctx(), 0, "&bramleylever.max_staleness="+age)
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close(ctx())
+			Expect(exec(conn, "CREATE TABLE t (v text)")).To(BeEmpty())
+			Expect(exec(conn, "INSERT INTO t VALUES ('first')")).To(BeEmpty())
+			for _, i := range f.group.Instances {
+				Eventually(func() any { return i.Status().Applied }).Should(Equal(f.group.Primary().Status().Applied))
+			}
+			Expect(one(conn, "SELECT v FROM t")).To(Equal("first"))
+			read, ok := f.registry.Get(counter).(metrics.Counter)
+			Expect(ok).To(BeTrue())
+			Expect(read.Count()).To(BeNumerically(">=", 1))
+		},
+		Entry("fresh enough", 5*time.Millisecond, "2s", "routing.reads_replica_with_age_requests"),
+		Entry("too old", 300*time.Millisecond, "1ms", "routing.reads_primary_requests"),
+	)
+})
+
 var _ = Describe("Promise 1 and 2: sessions over a group of instances", func() {
 	// Guards against lost acknowledged writes and reads that miss them, with
 	// lagging replicas, roaming sessions and a proxy that learns late.
@@ -197,7 +222,10 @@
 			defer control.Close()
 			_, err = control.Quiesce(ctx(), 250*time.Millisecond)
 			Expect(err).NotTo(HaveOccurred())
+			// The primary must know that the last commits are replicated, and
+			// have told so, before it is fenced.
 			end := f.group.Primary().Status().Received
+			Eventually(func() any { return f.group.Primary().Status().Confirmed }).Should(Equal(end))
 			Eventually(func() any { return f.group.Instances[1].Status().Received }).Should(Equal(end))
 			f.promote([]int{0, 1, 2}, [2]time.Duration{0, 50 * time.Millisecond})
 		}, false),
