Refuse writes that wait for their turn when a quiesce begins

A write that waited for the open transaction was refused only after that transaction ended, so a switchover with an open transaction held such writes until the quiesce timed out.

--- a/internal/backend/backendtest/refusal.go
+++ b/internal/backend/backendtest/refusal.go
@@ -103,11 +103,19 @@
 		}, settle).Should(Succeed())
 	})
 
-	// Guards against a final position that an open transaction later exceeds.
+	// Guards against a final position that an open transaction later exceeds,
+	// and against a write that waits through the quiesce for its turn.
 	It("waits for the open transaction", func() {
 		c := start(impl, 3)
 		writer := c.prepare()
 		writer.must("BEGIN; INSERT INTO contract VALUES (1, 1)")
+		queued := make(chan string, 1)
+		early := c.connect(0)
+		go func() {
+			_, err := early.query("INSERT INTO contract VALUES (1, 2)")
+			queued <- stateOf(err)
+		}()
+		Consistently(queued, absence).ShouldNot(Receive())
 		done := make(chan backend.Status, 1)
 		go func() {
 			defer GinkgoRecover()
@@ -120,6 +128,7 @@
 			_, err := other.query("BEGIN; DELETE FROM contract; ROLLBACK")
 			return stateOf(err)
 		}, settle).Should(Equal(backend.SQLStateReadOnly))
+		Eventually(queued, settle).Should(Receive(Equal(backend.SQLStateReadOnly)))
 		Consistently(done, absence).ShouldNot(Receive())
 		writer.must("INSERT INTO contract VALUES (2, 2); COMMIT")
 		var st backend.Status
--- a/internal/backend/standin/terms.go
+++ b/internal/backend/standin/terms.go
@@ -166,6 +166,8 @@
 		return failf(backend.SQLStateNotInPrerequisiteState, "quiesce: the instance is not primary")
 	}
 	i.state.quiescedUntil = time.Now().Add(limit)
+	close(w.quiesced)
+	w.quiesced = make(chan struct{})
 	i.mu.Unlock()
 	select {
 	case w.lock <- struct{}{}:
--- a/internal/backend/standin/writer.go
+++ b/internal/backend/standin/writer.go
@@ -15,6 +15,8 @@
 	db      *database
 	lock    chan struct{} // holds a token while a transaction is open
 	aborted chan struct{} // closed when the primary loses its role
+
+	quiesced chan struct{} // closed at a quiesce and replaced; guarded by Instance.mu
 }
 
 var errAborted = failf(backend.SQLStateReadOnly, "the transaction was aborted because the instance is no longer primary")
@@ -47,6 +49,8 @@
 		db:      db,
 		lock:    make(chan struct{}, 1),
 		aborted: make(chan struct{}),
+
+		quiesced: make(chan struct{}),
 	}
 	return nil
 }
@@ -68,7 +72,7 @@
 // acquireWriter claims the writer for a transaction. It fails with 25006
 // while the instance takes no writes.
 func (i *Instance) acquireWriter(ctx context.Context, what string) (*writer, error) {
-	w, err := i.currentWriter(what)
+	w, quiesced, err := i.currentWriter(what)
 	if err != nil {
 		return nil, err
 	}
@@ -79,25 +83,28 @@
 		case w.lock <- struct{}{}:
 		case <-w.aborted:
 			return nil, readOnlyError(what)
+		case <-quiesced:
+			return nil, readOnlyError(what)
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 	// A quiesce or a higher term may have come while this waited.
-	if now, err := i.currentWriter(what); err != nil || now != w {
+	if now, _, err := i.currentWriter(what); err != nil || now != w {
 		w.release()
 		return nil, readOnlyError(what)
 	}
 	return w, nil
 }
 
-func (i *Instance) currentWriter(what string) (*writer, error) {
+// currentWriter returns the writer and the channel that a quiesce closes.
+func (i *Instance) currentWriter(what string) (*writer, <-chan struct{}, error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.writer == nil || time.Now().Before(i.state.quiescedUntil) {
-		return nil, readOnlyError(what)
+		return nil, nil, readOnlyError(what)
 	}
-	return i.writer, nil
+	return i.writer, i.writer.quiesced, nil
 }
 
 // commit ends the transaction that holds w and logs its statements. It gives
