Assemble the proxy daemon; status command; renew no empty leases

Cause: the slices ran only in tests. A host that lost the contest for a relay's place kept renewing a lease that held nothing, one store call a second for each host that ever contended; the count in the elector's test showed it. Change: internal/proxy starts the slices in order; 'proxy' and 'status' are commands. A lost contest revokes the lease.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 lint:
 	scripts/tools.sh lint
-	$(GOBIN_DIR)/golangci-lint run ./...
+	$(GOBIN_DIR)/golangci-lint run --allow-parallel-runners ./...
 
 format:
 	gofmt -w $$(git ls-files '*.go' | grep -v '\.pb\.go$$')
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -1,5 +1,3 @@
-//go:build wip
-
 package cli
 
 import (
@@ -7,7 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -24,8 +22,8 @@
   bramleylever status --admin 127.0.0.1:8432 --output json`,
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			if output != "table" && output != "json" {
-				return usageError("--output %q is neither table nor json", output)
+			if output != outputText && output != outputJSON {
+				return usage("--output %q is neither text nor json", output)
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 			defer cancel()
@@ -33,14 +31,14 @@
 			if err != nil {
 				return err
 			}
-			if output == "json" {
-				return printJSON(env.out, status)
+			if output == outputJSON {
+				return printJSON(env, status)
 			}
 			return printStatus(env, status)
 		},
 	}
 	cmd.Flags().StringVar(&address, "admin", "127.0.0.1:8432", "admin address of a proxy")
-	cmd.Flags().StringVar(&output, "output", "table", "table or json")
+	cmd.Flags().StringVar(&output, "output", outputText, "output format, text or json")
 	return cmd
 }
 
@@ -50,7 +48,7 @@
 func fetchStatus(ctx context.Context, address string) (proxy.Status, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
 	if err != nil {
-		return proxy.Status{}, usageError("--admin %q: %w", address, err)
+		return proxy.Status{}, usage("--admin %q: %w", address, err)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
@@ -74,7 +72,7 @@
 	for _, m := range s.Members {
 		rows = append(rows, []any{m.Host, m.Domain, m.State, m.Relay, m.Draining, len(m.Buckets), m.Revision})
 	}
-	if err := printTable(env.out, []any{"HOST", "DOMAIN", "STATE", "RELAY", "DRAINING", "BUCKETS", "REVISION"}, rows); err != nil {
+	if err := printTable(env, []any{"HOST", "DOMAIN", "STATE", "RELAY", "DRAINING", "BUCKETS", "REVISION"}, rows); err != nil {
 		return err
 	}
 	fmt.Fprintln(env.out)
@@ -82,59 +80,26 @@
 	for _, g := range s.Groups {
 		rows = append(rows, []any{g.Database, g.Term, g.Primary})
 	}
-	return printTable(env.out, []any{"DATABASE", "TERM", "PRIMARY"}, rows)
+	return printTable(env, []any{"DATABASE", "TERM", "PRIMARY"}, rows)
 }
 
-// waitFlags let a command wait until a change is in force everywhere.
-type waitFlags struct{ admin string }
-
-func (w *waitFlags) add(cmd *cobra.Command) {
-	cmd.Flags().StringVar(&w.admin, "admin", "",
-		"admin address of a proxy; the command then waits until every live host has the change in force")
+func printJSON(env environment, value any) error {
+	encoder := json.NewEncoder(env.out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
 }
 
-// waitPause separates two looks at the status.
-const waitPause = 100 * time.Millisecond
-
-// untilInForce waits until the proxy's members have a revision in force. It
-// fails with ExitUnconfirmed at the deadline of ctx.
-func (w *waitFlags) untilInForce(ctx context.Context, env environment, revision int64) error {
-	if w.admin == "" {
-		return nil
-	}
-	var behind []string
-	for {
-		status, err := fetchStatus(ctx, w.admin)
-		if err == nil {
-			if behind = hostsBehind(status, revision); len(behind) == 0 {
-				fmt.Fprintf(env.out, "in force on %d hosts\n", len(status.Members))
-				return nil
+// printTable writes a header and rows in aligned columns.
+func printTable(env environment, header []any, rows [][]any) error {
+	table := tabwriter.NewWriter(env.out, 0, 0, 2, ' ', 0)
+	for _, row := range append([][]any{header}, rows...) {
+		for i, cell := range row {
+			if i > 0 {
+				fmt.Fprint(table, "\t")
 			}
+			fmt.Fprint(table, cell)
 		}
-		select {
-		case <-ctx.Done():
-			return &ExitError{Code: ExitUnconfirmed, Err: fmt.Errorf(
-				"revision %d is accepted but not confirmed by: %s", revision, unconfirmed(behind, err))}
-		case <-time.After(waitPause):
-		}
-	}
-}
-
-func unconfirmed(behind []string, err error) string {
-	if len(behind) == 0 && err != nil {
-		return err.Error()
-	}
-	return strings.Join(behind, ", ")
-}
-
-// hostsBehind lists the hosts that may still serve an older revision. Dead
-// hosts are included, because a host that is cut off looks dead.
-func hostsBehind(s proxy.Status, revision int64) []string {
-	var behind []string
-	for _, m := range s.Members {
-		if m.State != "left" && m.Revision < revision {
-			behind = append(behind, m.Host)
-		}
+		fmt.Fprintln(table)
 	}
-	return behind
+	return table.Flush()
 }
--- a/internal/control/claim.go
+++ b/internal/control/claim.go
@@ -80,7 +80,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := e.takeRelay(ctx); err != nil && !errors.Is(err, platform.ErrConflict) {
+	err := e.takeRelay(ctx)
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		// Another host was faster. A lease without claims would be renewed for
+		// nothing, once a second by each host that ever contended.
+		e.giveBack()
+	case err != nil:
 		e.options.Log.Warn("relay not taken", zap.String(logging.FieldStep, "take relay"), zap.Error(err))
 	}
 }
--- a/internal/control/elector_test.go
+++ b/internal/control/elector_test.go
@@ -127,6 +127,25 @@
 	return holders, epochs
 }
 
+// waitForRelays returns a member table that shows a number of relays.
+func (f *fleet) waitForRelays(count int) []membership.Member {
+	var members []membership.Member
+	Eventually(func() int {
+		for _, observer := range f.hosts {
+			members = observer.Members()
+			break
+		}
+		relays := 0
+		for _, m := range members {
+			if m.Relay {
+				relays++
+			}
+		}
+		return relays
+	}, patience).Should(Equal(count))
+	return members
+}
+
 func (f *fleet) allHeld() bool {
 	holders, _ := f.held()
 	return len(holders) == control.BucketCount
@@ -199,25 +218,14 @@
 			f.start(server, fmt.Sprintf("h%d", n), "a")
 		}
 		Eventually(f.allHeld, patience).Should(BeTrue())
-		Eventually(func() int {
-			relays := 0
-			for _, h := range f.hosts {
-				if h.elector.Relay() {
-					relays++
-				}
-			}
-			return relays
-		}, patience).Should(Equal(control.RelaysPerDomain))
 		// A steady member table, so that a lease that lapses on a slow machine
 		// does not make other hosts contend.
-		var observer *host
-		for _, observer = range f.hosts {
-			break
-		}
-		steady := observer.Members()
+		steady := f.waitForRelays(control.RelaysPerDomain)
 		f.mu.Lock()
 		f.frozen = steady
 		f.mu.Unlock()
+		// Calls that began before must end before they are counted.
+		time.Sleep(2 * time.Second)
 		before := server.CallsByClient()
 		Eventually(func() int64 {
 			return server.Calls()[standin.CallKeepAlive]
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -1,12 +1,9 @@
-//go:build wip
-
 package proxy
 
 import (
-	"time"
-
 	"github.com/bramleylever/bramleylever/internal/frontend"
 	"github.com/bramleylever/bramleylever/internal/pool"
+	"github.com/bramleylever/bramleylever/internal/records"
 )
 
 // warmConnections are kept open to each instance, because opening one takes
@@ -29,17 +26,17 @@
 		Topology: p.topology,
 		Pool: pool.Config{
 			Credentials: pool.Credentials{User: s.Backend.User, Password: password},
-			Budget:      p.shares,
 			Dial:        pool.DialFunc(p.dial),
 			Warm:        warmConnections,
 			DialTimeout: s.Backend.ConnectTimeout,
 			Registry:    p.registry,
 		},
-		Limiter:         p.shares,
-		Confirmed:       p.confirmed,
-		TLS:             tlsConfig,
-		Selection:       s.Routing.Policy,
-		Weight:          func(instance string) float64 { return p.weights.Weight(instance, time.Now()) },
+		Confirmed: p.confirmed,
+		TLS:       tlsConfig,
+		Selection: s.Routing.Policy,
+		Weight: func(instance string) float64 {
+			return p.weights.Weight(records.Instance{Name: instance}, p.now())
+		},
 		Logger:          p.log.Named("routing"),
 		LogEvery:        uint64(s.Log.RoutingSample),
 		Registry:        p.registry,
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,5 +1,3 @@
-//go:build wip
-
 // Package proxy assembles the daemon: it starts the slices in the order of
 // their dependencies and ends them in reverse.
 //
@@ -10,7 +8,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -23,6 +20,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
 	"github.com/bramleylever/bramleylever/internal/admin"
 	"github.com/bramleylever/bramleylever/internal/backend"
 	"github.com/bramleylever/bramleylever/internal/control"
@@ -34,7 +32,6 @@
 	"github.com/bramleylever/bramleylever/internal/platform"
 	"github.com/bramleylever/bramleylever/internal/records"
 	"github.com/bramleylever/bramleylever/internal/settings"
-	"github.com/bramleylever/bramleylever/internal/shares"
 	"github.com/bramleylever/bramleylever/internal/topology"
 )
 
@@ -68,7 +65,6 @@
 	elector  *control.Elector
 	records  *records.Runner
 	failover *failover.Runner
-	shares   *shares.Runner
 	frontend *frontend.Server
 	admin    *admin.Server
 
@@ -165,13 +161,12 @@
 		return err
 	}
 	p.members.Register(p.server)
-	p.records.Register(p.server)
+	peerv1.RegisterRecordsServer(p.server, p.records)
 	p.failover.Register(p.server)
-	p.shares.Register(p.server)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stopControl = cancel
 	p.feed.Subscribe(func(snapshot *records.Snapshot) {
-		p.weights.Apply(snapshot, p.now())
+		p.weights.Apply(p.now(), snapshot)
 		p.members.SetRevision(snapshot.Revision)
 	})
 	p.run("peer server", func(context.Context) error { return p.server.Serve() }, ctx)
@@ -179,7 +174,6 @@
 	p.run("elector", p.elector.Run, ctx)
 	p.run("records", p.records.Run, ctx)
 	p.run("failover", p.failover.Run, ctx)
-	p.run("shares", p.shares.Run, ctx)
 	return nil
 }
 
@@ -243,15 +237,6 @@
 	p.members.OnDigest(func(from membership.Member, d membership.Digest) {
 		p.failover.OnDigest(from, d.TopologyHash)
 	})
-	p.shares = shares.New(shares.Options{
-		Identity: p.identity,
-		Feed:     p.feed,
-		Members:  p.members,
-		Buckets:  p.elector,
-		Peers:    p.peers,
-		Metrics:  p.registry,
-		Log:      p.log.Named("shares"),
-	})
 	return nil
 }
 
@@ -355,7 +340,6 @@
 	case <-ctx.Done():
 	}
 	err := p.frontend.Drain(ctx)
-	err = errors.Join(err, p.shares.Drain(ctx))
 	p.members.Leave(ctx)
 	p.Close()
 	p.log.Info("drain ended", zap.String("decision", "drain"), zap.Error(err))
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -1,5 +1,3 @@
-//go:build wip
-
 package proxy
 
 import (
