--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -169,11 +169,11 @@
 		p.weights.Apply(p.now(), snapshot)
 		p.members.SetRevision(snapshot.Revision)
 	})
-	p.run("peer server", func(context.Context) error { return p.server.Serve() }, ctx)
-	p.run("membership", p.members.Run, ctx)
-	p.run("elector", p.elector.Run, ctx)
-	p.run("records", p.records.Run, ctx)
-	p.run("failover", p.failover.Run, ctx)
+	p.run(ctx, "peer server", func(context.Context) error { return p.server.Serve() })
+	p.run(ctx, "membership", p.members.Run)
+	p.run(ctx, "elector", p.elector.Run)
+	p.run(ctx, "records", p.records.Run)
+	p.run(ctx, "failover", p.failover.Run)
 	return nil
 }
 
@@ -253,7 +253,7 @@
 }
 
 // run starts a part of the daemon and logs its end.
-func (p *Proxy) run(name string, part func(context.Context) error, ctx context.Context) {
+func (p *Proxy) run(ctx context.Context, name string, part func(context.Context) error) {
 	p.running.Go(func() {
 		if err := part(ctx); err != nil && ctx.Err() == nil {
 			p.log.Error("part of the proxy ended", zap.String("part", name), zap.Error(err))
