End the lease of a host that lost the contest for a relay's place

Hosts that lost kept renewing a lease on which nothing hung, so the store's load grew with the number of hosts that ever tried. Such a lease is now revoked.

--- a/internal/control/claim.go
+++ b/internal/control/claim.go
@@ -80,8 +80,23 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := e.takeRelay(ctx); err != nil && !errors.Is(err, platform.ErrConflict) {
+	err := e.takeRelay(ctx)
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
 		e.options.Log.Warn("relay not taken", zap.String(logging.FieldStep, "take relay"), zap.Error(err))
+		return
+	}
+	e.revokeUnused()
+}
+
+// revokeUnused ends a lease that nothing hangs on, because another host was
+// faster. Keeping it alive would cost the store a call a second for each host
+// that ever lost.
+func (e *Elector) revokeUnused() {
+	e.mu.Lock()
+	unused := e.lease != 0 && e.relay == "" && len(e.epochs) == 0
+	e.mu.Unlock()
+	if unused {
+		e.giveBack()
 	}
 }
 
