--- a/internal/backend/standin/faults_test.go
+++ b/internal/backend/standin/faults_test.go
@@ -74,6 +74,18 @@
 		Expect(i.Counters().RefusedConnections).To(Equal(uint64(2)))
 	})
 
+	// Guards against a connection that is usable before its cost was paid.
+	It("completes authentication after the connection cost", func() {
+		i := startGroup(1, settings(standin.Settings{ConnectionCost: standin.Duration(time.Hour)})).Primary()
+		short, cancel := context.WithTimeout(ctx, absence)
+		defer cancel()
+		_, err := pgx.Connect(short, connectionString(i.Address(), standin.DefaultUser))
+		Expect(err).To(HaveOccurred())
+		Expect(i.Counters().Connections).To(Equal(uint64(1)), "it occupies a connection meanwhile")
+		Expect(i.Update(func(s *standin.Settings) { s.ConnectionCost = 0 })).To(Succeed())
+		connect(i.Address())
+	})
+
 	// Guards against a stand-in that accepts any caller.
 	DescribeTable("checks user and password", func(user, pass string) {
 		i := startGroup(1).Primary()
--- /dev/null
+++ b/internal/backend/standin/rewind.go
@@ -0,0 +1,76 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// dropFork truncates the log to what it has in common with the primary's and
+// returns the end. If entries were dropped, the data connections are closed,
+// and if some of them were applied, the database is rebuilt from the log.
+func (i *Instance) dropFork(f *follower, first hello) (position.LSN, error) {
+	i.applyMu.Lock()
+	defer i.applyMu.Unlock()
+	common, entries, err := i.truncateFork(f, first)
+	if err != nil || entries == nil {
+		return common, err
+	}
+	db, err := replayAll(entries, i.replica.Load)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	// Without a rebuilt database, reads fail rather than show the fork.
+	i.db.close()
+	if err != nil {
+		return 0, err
+	}
+	i.db = db
+	i.state.applied = common
+	// Connections that were opened during the rebuild read the old database.
+	i.closeDataConnections()
+	i.broadcastLocked()
+	return common, nil
+}
+
+// truncateFork drops the entries that the primary doesn't have. It returns
+// the remaining ones if the database must be rebuilt from them, else nil.
+func (i *Instance) truncateFork(f *follower, first hello) (position.LSN, []entry, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.follower != f {
+		return 0, nil, errTermOver
+	}
+	st := &i.state
+	common := position.CommonPrefix(st.history, first.History, st.end(), first.End)
+	if common >= st.end() {
+		return common, nil, nil
+	}
+	st.truncate(common)
+	st.samples, st.freshAsOf = nil, time.Time{}
+	i.closeDataConnections()
+	rebuild := st.applied > common
+	if rebuild {
+		st.applied = 0
+	}
+	i.broadcastLocked()
+	if !rebuild {
+		return common, nil, nil
+	}
+	return common, append([]entry{}, st.entries...), nil
+}
+
+// replayAll builds a database from a whole log.
+func replayAll(entries []entry, replica func() bool) (*database, error) {
+	db, err := openDatabase(nil, replica)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		if err := db.apply(e.statements); err != nil {
+			db.close()
+			return nil, fmt.Errorf("rebuild: entry %d: %w", e.lsn, err)
+		}
+	}
+	return db, nil
+}
--- a/internal/backend/standin/standin_test.go
+++ b/internal/backend/standin/standin_test.go
@@ -94,6 +94,30 @@
 		Expect(doc).To(Equal(map[string]int{"k": 1}))
 	})
 
+	// Guards against one of the driver's ways to send statements that works
+	// unlike the others.
+	DescribeTable("serves the driver's modes", func(mode pgx.QueryExecMode) {
+		at := time.Date(2026, 3, 4, 5, 6, 7, 0, time.UTC)
+		for k := range 2 {
+			_, err := conn.Exec(ctx, "INSERT INTO slots (name, n, ok, at, price) VALUES ($1, $2, $3, $4, $5)",
+				mode, fmt.Sprint("s", k), k, true, at, 0.5)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		var name string
+		var gotAt time.Time
+		var price float64
+		Expect(conn.QueryRow(ctx, "SELECT name, at, price FROM slots WHERE n >= $1 AND ok = $2 AND at <= $3 ORDER BY id DESC LIMIT $4",
+			mode, 0, true, at, 1).Scan(&name, &gotAt, &price)).To(Succeed())
+		Expect([]any{name, price}).To(Equal([]any{"s1", 0.5}))
+		Expect(gotAt).To(BeTemporally("==", at))
+	},
+		Entry("cached statement", pgx.QueryExecModeCacheStatement),
+		Entry("cached description", pgx.QueryExecModeCacheDescribe),
+		Entry("description", pgx.QueryExecModeDescribeExec),
+		Entry("types of the arguments", pgx.QueryExecModeExec),
+		Entry("simple protocol", pgx.QueryExecModeSimpleProtocol),
+	)
+
 	// Guards against a translation that breaks one of the constructs that
 	// callers use.
 	DescribeTable("understands PostgreSQL's dialect", func(sql string, args []any, want any) {
