--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -23,11 +23,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
+	return NewServer(listener, registry), nil
+}
+
+// NewServer returns a server on a listener that is open already.
+func NewServer(listener net.Listener, registry metrics.Registry) *Server {
 	server := grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.StatsHandler(NewTraffic(registry)),
 	)
-	return &Server{Server: server, listener: listener}, nil
+	return &Server{Server: server, listener: listener}
 }
 
 // Address returns the address that the server listens on.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -45,6 +45,9 @@
 	// Dial replaces the TCP dialer, for tests with partitions; nil dials from
 	// the settings' source address.
 	Dial DialFunc
+	// PeerListener, if set, is used in place of a listener on the settings'
+	// address for peers.
+	PeerListener net.Listener
 }
 
 // Proxy is a running daemon.
@@ -92,7 +95,7 @@
 	if p.dial == nil {
 		p.dial = sourceDialer(o.Settings.Backend.SourceAddress)
 	}
-	if err := p.start(); err != nil {
+	if err := p.start(o.PeerListener); err != nil {
 		p.Close()
 		return nil, fmt.Errorf("start proxy %s: %w", o.Settings.Host, err)
 	}
@@ -109,8 +112,8 @@
 
 func (p *Proxy) now() time.Time { return time.Now() }
 
-func (p *Proxy) start() error {
-	if err := p.connect(); err != nil {
+func (p *Proxy) start(peers net.Listener) error {
+	if err := p.connect(peers); err != nil {
 		return err
 	}
 	if err := p.startControl(); err != nil {
@@ -131,11 +134,12 @@
 
 // connect opens the platform store, the address for peers and the connections
 // to them.
-func (p *Proxy) connect() error {
+func (p *Proxy) connect(peers net.Listener) error {
 	s := p.settings
 	var err error
-	p.server, err = peer.Listen(s.Listen.Peers, p.registry)
-	if err != nil {
+	if peers != nil {
+		p.server = peer.NewServer(peers, p.registry)
+	} else if p.server, err = peer.Listen(s.Listen.Peers, p.registry); err != nil {
 		return err
 	}
 	p.identity = peer.Identity{
--- a/internal/proxy/status.go
+++ b/internal/proxy/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/bramleylever/bramleylever/internal/membership"
+	"github.com/bramleylever/bramleylever/internal/records"
+	"github.com/bramleylever/bramleylever/internal/topology"
 )
 
 // Status is what a proxy shows of itself and of the fleet as it knows it.
@@ -81,3 +83,9 @@
 	}
 	return out
 }
+
+// Group returns what this proxy knows of a database's primary.
+func (p *Proxy) Group(database string) (topology.Group, bool) { return p.topology.Group(database) }
+
+// Snapshot returns the configuration in force.
+func (p *Proxy) Snapshot() *records.Snapshot { return p.feed.Current() }
