Do not end a switchover's calls with its request

The actions that followed from a switchover request ran in the context of the request, so pushes and follow calls were cancelled when the request was answered and hosts learned the new primary from their next probe. They now run in the runner's context.

The new test fails without the change.

--- a/internal/failover/fake_test.go
+++ b/internal/failover/fake_test.go
@@ -251,6 +251,9 @@
 
 func (c *fakeControl) do(ctx context.Context, call Call) (backend.Status, error) {
 	call.Instance = c.name
+	if ctx.Err() != nil {
+		return backend.Status{}, fmt.Errorf("%w: %w", outcome.ErrNotRun, ctx.Err())
+	}
 	c.group.mu.Lock()
 	in := c.group.get(c.name)
 	if in.down {
--- a/internal/failover/fleet_test.go
+++ b/internal/failover/fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
@@ -148,6 +149,23 @@
 	})
 }
 
+// Guards against a switchover that is interrupted half-way when the caller that
+// asked for it gives up.
+func TestPromise13SwitchoverOutlivesItsCaller(t *testing.T) {
+	t.Run("Promise 13: the caller of a switchover gives up", func(t *testing.T) {
+		g := NewWithT(t)
+		f := startFleet(t)
+		g.Eventually(f.term, "5s").Should(Equal(position.Term{Epoch: 2, Sequence: 1}))
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := f.runners[0].RequestSwitchover(ctx, "ledger", "i3")
+		g.Expect(err).To(MatchError(context.Canceled))
+		g.Eventually(f.everywhere, "5s").Should(HaveField("Primary", "i3"))
+		released := metrics.GetOrRegisterCounter("failover.decisions_release_switchover_count", f.runners[0].o.Metrics)
+		g.Expect(released.Count()).To(BeZero())
+	})
+}
+
 // Guards against a host that missed a push and keeps an old topology.
 func TestFetchOnDigestMismatch(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/failover/runner.go
+++ b/internal/failover/runner.go
@@ -434,7 +434,8 @@
 		}
 		r.lastRequest++
 		r.waiting[r.lastRequest] = reply
-		r.step(ctx, now, d, SwitchoverRequest{ID: r.lastRequest, Target: target})
+		// The work goes on although the caller's context ends.
+		r.step(r.ctx, now, d, SwitchoverRequest{ID: r.lastRequest, Target: target})
 	})
 	if !ok {
 		return SwitchoverDone{}, ErrStopped
--- a/internal/failover/service.go
+++ b/internal/failover/service.go
@@ -114,7 +114,10 @@
 			_, err = peer.Call(ctx, func(ctx context.Context) (*peerv1.TopologyReply, error) {
 				return client.PushTopology(ctx, request)
 			})
-			return err
+			if err != nil {
+				r.o.Log.Debug("push topology", zap.String(logging.FieldPeer, m.Host), zap.Error(err))
+			}
+			return nil
 		})
 	}
 	_ = sends.Wait()
