--- /dev/null
+++ b/internal/backend/standin/group.go
@@ -0,0 +1,170 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// Group is a group of instances in one process.
+type Group struct {
+	Instances []*Instance
+}
+
+// groupTerm is the term in which NewGroup promotes the first instance.
+var groupTerm = position.Term{Epoch: 1, Sequence: 1}
+
+// groupWait bounds the time until the replicas of a new group follow.
+const groupWait = 10 * time.Second
+
+// NewGroup starts n instances on loopback ports and makes the first one the
+// primary of term 1.1, which the others follow. The configuration applies to
+// each; the names are the configured name, by default "instance", with a
+// number from 1.
+func NewGroup(n int, cfg Config) (*Group, error) {
+	hosts := make([]string, n)
+	for k := range hosts {
+		hosts[k] = "127.0.0.1"
+	}
+	return NewGroupAt(hosts, cfg)
+}
+
+// NewGroupAt is NewGroup with one instance on each of the given IP addresses,
+// for example 127.0.0.2; with addresses of their own the instances can be cut
+// off from each other.
+func NewGroupAt(hosts []string, cfg Config) (*Group, error) {
+	g, err := StartInstances(hosts, cfg)
+	if err != nil {
+		return nil, err
+	}
+	if err := g.form(); err != nil {
+		g.Close()
+		return nil, err
+	}
+	return g, nil
+}
+
+// StartInstances starts the instances of a group without a primary; each is
+// fenced in term 0.0.
+func StartInstances(hosts []string, cfg Config) (*Group, error) {
+	g := &Group{}
+	prefix := cfg.Name
+	if prefix == "" {
+		prefix = "instance"
+	}
+	for k, host := range hosts {
+		cfg.Name = fmt.Sprintf("%s%d", prefix, k+1)
+		cfg.GroupSize = len(hosts)
+		i := New(cfg)
+		if err := i.Start(net.JoinHostPort(host, "0")); err != nil {
+			g.Close()
+			return nil, err
+		}
+		g.Instances = append(g.Instances, i)
+	}
+	return g, nil
+}
+
+// Isolate cuts the connections between instance k and the others of the
+// group. The instances must have different IP addresses.
+func (g *Group) Isolate(k int) error {
+	for j, other := range g.Instances {
+		if j == k {
+			continue
+		}
+		if err := other.Cut(g.Instances[k].prefix()); err != nil {
+			return err
+		}
+		if err := g.Instances[k].Cut(other.prefix()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Heal ends all cuts of the group's instances.
+func (g *Group) Heal() error {
+	for _, i := range g.Instances {
+		if err := i.Heal(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (g *Group) form() error {
+	primary := g.Instances[0]
+	if _, err := primary.RaiseTerm(groupTerm); err != nil {
+		return err
+	}
+	if _, err := primary.Promote(groupTerm); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), groupWait)
+	defer cancel()
+	for _, i := range g.Instances[1:] {
+		if _, err := i.Follow(ctx, groupTerm, primary.Address()); err != nil {
+			return err
+		}
+	}
+	end := primary.Status().Received
+	for _, i := range g.Instances[1:] {
+		err := i.await(ctx, func() (bool, error) { return i.state.end() >= end, nil })
+		if err != nil {
+			return fmt.Errorf("instance %s does not follow %s: %w", i.Name(), primary.Name(), err)
+		}
+	}
+	return nil
+}
+
+// Primary returns the instance that was the first primary.
+func (g *Group) Primary() *Instance { return g.Instances[0] }
+
+// Addresses returns the addresses in the order of the instances.
+func (g *Group) Addresses() []string {
+	out := make([]string, len(g.Instances))
+	for k, i := range g.Instances {
+		out[k] = i.Address()
+	}
+	return out
+}
+
+// Close ends all instances and frees their data.
+func (g *Group) Close() {
+	for _, i := range g.Instances {
+		i.Discard()
+	}
+}
+
+// prefix returns the prefix that contains only the address of the instance.
+func (i *Instance) prefix() netip.Prefix {
+	addr := i.lastAddr.Load()
+	if addr == nil {
+		return netip.Prefix{}
+	}
+	return netip.PrefixFrom(*addr, addr.BitLen())
+}
+
+// Freeze makes the instance answer nothing until Thaw.
+func (i *Instance) Freeze() { _ = i.Update(func(s *Settings) { s.Frozen = true }) }
+
+// Thaw ends a freeze.
+func (i *Instance) Thaw() { _ = i.Update(func(s *Settings) { s.Frozen = false }) }
+
+// Cut holds back the connections from and to the given prefixes, in addition
+// to those that are cut already.
+func (i *Instance) Cut(prefixes ...netip.Prefix) error {
+	return i.Update(func(s *Settings) { s.Cut = append(s.Cut, prefixes...) })
+}
+
+// Heal ends all cuts; connections continue where they were.
+func (i *Instance) Heal() error { return i.Update(func(s *Settings) { s.Cut = nil }) }
+
+// SetLag sets the time from receiving to applying a log entry.
+func (i *Instance) SetLag(d time.Duration) error {
+	return i.Update(func(s *Settings) { s.Lag = Duration(d) })
+}
--- /dev/null
+++ b/internal/backend/standin/recorder.go
@@ -0,0 +1,88 @@
+package standin
+
+import (
+	"database/sql/driver"
+	"sync"
+	"time"
+)
+
+// Executed is one statement that an instance ran or refused.
+type Executed struct {
+	SQL  string
+	Args []driver.Value
+	User string
+	At   time.Time
+	// SQLState is empty if the statement succeeded.
+	SQLState string
+}
+
+// recorder keeps the last statements and counts all of them.
+type recorder struct {
+	mu    sync.Mutex
+	limit int
+	ring  []Executed
+	next  int
+
+	counters Counters
+}
+
+// Counters count what an instance did since New.
+type Counters struct {
+	// Statements that ran or were refused.
+	Statements uint64
+	// Connections that were admitted.
+	Connections uint64
+	// RefusedConnections were above a limit.
+	RefusedConnections uint64
+}
+
+// Counters returns the present counts.
+func (i *Instance) Counters() Counters {
+	i.recorder.mu.Lock()
+	defer i.recorder.mu.Unlock()
+	return i.recorder.counters
+}
+
+// countConnection counts a connection that was admitted or refused.
+func (r *recorder) countConnection(admitted bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if admitted {
+		r.counters.Connections++
+	} else {
+		r.counters.RefusedConnections++
+	}
+}
+
+func (r *recorder) add(e Executed) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counters.Statements++
+	if r.limit < 0 {
+		return
+	}
+	if len(r.ring) < r.limit {
+		r.ring = append(r.ring, e)
+		return
+	}
+	r.ring[r.next] = e
+	r.next = (r.next + 1) % r.limit
+}
+
+// Executed returns the last statements in the order in which they ended, at
+// most Config.RecordLimit.
+func (i *Instance) Executed() []Executed {
+	r := &i.recorder
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Executed, 0, len(r.ring))
+	out = append(out, r.ring[r.next:]...)
+	return append(out, r.ring[:r.next]...)
+}
+
+// ForgetExecuted empties the list of statements; the counters stay.
+func (i *Instance) ForgetExecuted() {
+	i.recorder.mu.Lock()
+	defer i.recorder.mu.Unlock()
+	i.recorder.ring, i.recorder.next = nil, 0
+}
