--- a/internal/backend/backendtest/suite.go
+++ b/internal/backend/backendtest/suite.go
@@ -22,6 +22,7 @@
 		guardSpecs(impl)
 		refusalSpecs(impl)
 		quiesceSpecs(impl)
+		failoverSpecs(impl)
 	})
 }
 
