--- a/internal/backend/standin/faults_test.go
+++ b/internal/backend/standin/faults_test.go
@@ -114,12 +114,15 @@
 	// Guards against statements that wait for ever after more slots were given.
 	It("lets waiting statements run when slots are added", func() {
 		i := startGroup(1, settings(standin.Settings{Slots: 1})).Primary()
-		async(connect(i.Address()), "SELECT pg_sleep(60)")
+		first := connect(i.Address())
+		sleeping := async(first, "SELECT pg_sleep(60)")
 		Eventually(i.RunningStatements, patience).Should(Equal(1))
 		waiting := async(connect(i.Address()), "SELECT 1")
 		Consistently(waiting, absence).ShouldNot(Receive())
 		Expect(i.Update(func(s *standin.Settings) { s.Slots = 2 })).To(Succeed())
 		Eventually(waiting, patience).Should(Receive(BeNil()))
+		Expect(first.PgConn().CancelRequest(ctx)).To(Succeed())
+		Eventually(sleeping, patience).Should(Receive(HaveOccurred()))
 	})
 
 	// Guards against a deadlock between the writer and the slots.
