--- a/internal/backend/standin/protocol_test.go
+++ b/internal/backend/standin/protocol_test.go
@@ -217,3 +217,24 @@
 		Expect(read(connect(g.Instances[1].Address()))[1].Rows).To(Equal(read(writer)[1].Rows))
 	})
 })
+
+// Guards against parameter types that are guessed while a table is missing and
+// kept after it appeared, which makes later reads match no row.
+var _ = Describe("Parse", func() {
+	It("refuses a table that does not exist, and prepares once it does", func(ctx SpecContext) {
+		group, err := standin.NewGroup(1, standin.Config{})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(group.Close)
+		conn, err := pgx.Connect(ctx, "postgres://"+standin.DefaultUser+"@"+group.Primary().Address()+"/db?sslmode=disable")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close, context.Background())
+		const sql = "SELECT count(*) FROM readings WHERE session = $1"
+		_, err = conn.PgConn().Prepare(ctx, "s", sql, nil)
+		Expect(err).To(MatchError(ContainSubstring("42P01")))
+		_, err = conn.Exec(ctx, "CREATE TABLE readings (session bigint)")
+		Expect(err).NotTo(HaveOccurred())
+		description, err := conn.PgConn().Prepare(ctx, "s", sql, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(description.ParamOIDs).To(Equal([]uint32{20}))
+	})
+})
--- a/internal/backend/standin/query.go
+++ b/internal/backend/standin/query.go
@@ -191,13 +191,27 @@
 		if err := s.mayRun(st); err != nil {
 			return err
 		}
-		p.types = parameterTypes(s.currentDatabase(), st, m.ParameterOIDs)
+		db := s.currentDatabase()
+		if err := checkNames(db, st); err != nil {
+			return err
+		}
+		p.types = parameterTypes(db, st, m.ParameterOIDs)
 	}
 	s.statements[m.Name] = p
 	s.backend.Send(&pgproto3.ParseComplete{})
 	return nil
 }
 
+// checkNames refuses a statement on tables or columns that do not exist. Its
+// parameter types would be guesses, and would stay when the tables appear.
+func checkNames(db *database, st *statement) error {
+	if st.sql == "" || st.kind != kindRead && st.kind != kindLock && st.kind != kindWrite {
+		return nil
+	}
+	_, err := db.describe(st.sql)
+	return err
+}
+
 func (s *session) statement(name string) (*prepared, error) {
 	p, ok := s.statements[name]
 	if !ok {
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -42,15 +42,11 @@
 }
 
 func runDev(ctx context.Context, env environment, o deployment.Options, logFile, logLevel string) error {
-	out := io.Discard
-	if logFile != "" {
-		file, err := os.Create(logFile)
-		if err != nil {
-			return usage("--log-file: %w", err)
-		}
-		defer func() { _ = file.Close() }()
-		out = file
+	out, err := openLog(logFile)
+	if err != nil {
+		return err
 	}
+	defer func() { _ = out.Close() }()
 	log, err := logging.New(logLevel, out)
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Err: err}
@@ -68,6 +64,23 @@
 	return nil
 }
 
+// nopCloser makes a writer that needs no closing an io.WriteCloser.
+type nopCloser struct{ io.Writer }
+
+func (nopCloser) Close() error { return nil }
+
+// openLog opens a log file; without a path, lines are dropped.
+func openLog(path string) (io.WriteCloser, error) {
+	if path == "" {
+		return nopCloser{io.Discard}, nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, usage("--log-file: %w", err)
+	}
+	return file, nil
+}
+
 func printDeployment(env environment, d *deployment.Deployment) {
 	fmt.Fprintf(env.out, "platform %s\n\n", d.Platform.Address())
 	var rows [][]any
--- a/internal/deployment/faults.go
+++ b/internal/deployment/faults.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/bramleylever/bramleylever/internal/backend/standin"
 	"github.com/bramleylever/bramleylever/internal/records"
@@ -130,3 +131,22 @@
 	}
 	return d.Apply(record)
 }
+
+// WaitRevision waits until all running hosts have a revision in force, at most
+// for the limit, and returns when that was.
+func (d *Deployment) WaitRevision(revision int64, limit time.Duration) time.Time {
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) {
+		behind := false
+		for _, host := range d.Hosts {
+			if host.Proxy != nil && host.Proxy.Snapshot().Revision < revision {
+				behind = true
+			}
+		}
+		if !behind {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return time.Now()
+}
