--- a/internal/cli/config_test.go
+++ b/internal/cli/config_test.go
@@ -122,6 +122,13 @@
 		Expect(on("key", "list", "audit").out).To(ContainSubstring("withdrawn"))
 	})
 
+	// Guards against a key that may have been granted and that nobody can name.
+	It("names the key of a grant that failed", func() {
+		failed := on("key", "grant", "nobody")
+		Expect(failed.code).To(Equal(cli.ExitFailure))
+		Expect(failed.err).To(MatchRegexp(`key k[a-z0-9]+: .*unknown account "nobody"`))
+	})
+
 	// Guards against a withdrawal that is reported as done while a host does
 	// not know of it yet.
 	DescribeTable("reports hosts that have not confirmed",
@@ -163,7 +170,6 @@
 	// a diff that hides a change.
 	It("refuses wrong input and shows no difference after apply", func() {
 		Expect(on("config", "diff", example).out).To(BeEmpty())
-		Expect(on("key", "grant", "nobody").code).To(Equal(cli.ExitFailure))
 		Expect(on("backend", "drain", "slots9-1").err).To(ContainSubstring("unknown instance"))
 		Expect(on("key", "withdraw", "k0").err).To(ContainSubstring("does not exist"))
 		Expect(on("config", "get", "--output", "yaml").code).To(Equal(cli.ExitUsage))
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -107,6 +107,10 @@
 		report.Revision, report.Changed = result.Revision, result.Changed
 		return err
 	})
+	if err != nil && report.KeyID != "" {
+		// After an unknown outcome the operator needs the id to withdraw it.
+		return fmt.Errorf("key %s: %w", report.KeyID, err)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/records/runner_test.go
+++ b/internal/records/runner_test.go
@@ -281,6 +281,18 @@
 		f.eventuallyAt(f.apply("6"))
 	})
 
+	// Guards against a subscriber that blocks the dissemination by asking about
+	// it.
+	It("lets subscribers of the feed ask the runner", func() {
+		f := newFleet(1, "a")
+		h := f.hosts[0]
+		asked := make(chan bool, 100)
+		cancel := h.feed.Subscribe(func(*records.Snapshot) { asked <- h.runner.Confirmed(time.Now()) })
+		defer cancel()
+		f.eventuallyAt(f.apply("5"))
+		Eventually(asked, inForceTimeout).Should(Receive(BeTrue()))
+	})
+
 	// Guards against a relay that misses changes which the store compacted.
 	It("reads the whole state after a compaction", func() {
 		f := newFleet(1, "a")
