Fix shares credited twice, raised by a return and kept above a lowered limit

Change: grants carry the limit under which they were issued; a later owner does not extend grants of a higher one before its reserve has ended, and counts them beside the reserve. The owner of epoch 1 has no predecessors and does not wait. Grants too small for the need get no rate, because their refill was lost.

--- a/share/doc.go
+++ b/share/doc.go
@@ -27,9 +27,12 @@
 //   - An owner of a new epoch grants nothing beyond what holders report until
 //     all grants of its predecessors have expired: the dynamic part after the
 //     dynamic validity, the base part after the base validity. Reported grants
-//     are adopted as far as they fit.
+//     are adopted as far as they fit. Epochs start at 1 and never repeat, so
+//     the owner of epoch 1 need not wait.
 //   - After a limit is lowered, grants count until they are returned or expire;
 //     until then the fleet may use the highest limit of the last base validity.
+//     A later owner does not extend grants that were issued under a higher
+//     limit before it knows all of them.
 //   - A unit that a holder gives up stays counted until the holder has closed
 //     its connection. A paused process cannot close connections; it does not
 //     use them after its units have expired.
--- a/share/exchange.go
+++ b/share/exchange.go
@@ -12,6 +12,8 @@
 	// callTimeout is how long a holder waits for an answer before it calls
 	// again.
 	callTimeout = 500 * time.Millisecond
+	// retryInterval is how soon a holder calls again after a call that failed.
+	retryInterval = 100 * time.Millisecond
 	// minCallInterval and maxBackoff bound how often a holder calls when its
 	// level is low; it backs off while answers bring no tokens.
 	minCallInterval = 5 * time.Millisecond
@@ -34,6 +36,9 @@
 		return now.Sub(h.sentAt) >= callTimeout
 	}
 	since := now.Sub(h.sentAt)
+	if h.failed {
+		return since >= retryInterval
+	}
 	if h.quiet(now) {
 		return since >= callTimeout && h.Holds(now)
 	}
@@ -127,6 +132,7 @@
 	}
 	h.sequence++
 	h.pending = h.sequence
+	h.failed = false
 	h.sentAt = now
 	call := Call{Holder: h.id, Epoch: h.epoch, Sequence: h.sequence}
 	call.Wanted, call.Unmet = h.wanted(now)
@@ -193,6 +199,14 @@
 	return excess
 }
 
+// Failed notes that the call with a sequence number gets no answer.
+func (h *Holder) Failed(sequence uint64) {
+	if h.pending == sequence {
+		h.pending = 0
+		h.failed = true
+	}
+}
+
 // Apply takes the answer to the latest call. It reports false and changes
 // nothing if the answer belongs to an earlier call, is a repetition, or comes
 // from a replaced owner.
@@ -288,11 +302,18 @@
 	call := h.report(now)
 	call.Wanted, call.Leaving = 0, true
 	over := float64(h.open)
-	for i := range call.Held {
-		call.Held[i].Capacity = min(call.Held[i].Capacity, over)
-		over -= call.Held[i].Capacity
-		p := &h.pieces[call.Held[i].Class]
-		p.grant.Capacity = call.Held[i].Capacity
+	var held []Grant
+	for _, g := range call.Held {
+		g.Capacity = min(g.Capacity, over)
+		over -= g.Capacity
+		p := &h.pieces[g.Class]
+		p.grant.Capacity = min(p.grant.Capacity, g.Capacity)
+		if g.Capacity > 0 {
+			held = append(held, g)
+		} else {
+			h.pieces[g.Class] = piece{}
+		}
 	}
+	call.Held = held
 	return call
 }
--- a/share/fleet_test.go
+++ b/share/fleet_test.go
@@ -73,6 +73,9 @@
 		f.members = append(f.members, f.newMember(i, 1))
 	}
 	f.changeOwner()
+	if rapid.Bool().Draw(t, "later epoch") {
+		f.changeOwner()
+	}
 	return f
 }
 
--- a/share/holder.go
+++ b/share/holder.go
@@ -32,7 +32,9 @@
 	epoch    uint64
 	sequence uint64
 	pending  uint64
-	sentAt   time.Time
+	// failed says that the last call got no answer.
+	failed bool
+	sentAt time.Time
 	// firstCall is the time of the first call.
 	firstCall time.Time
 	backoff   time.Duration
@@ -74,8 +76,14 @@
 
 // Admit takes one token and reports whether there was one.
 func (h *Holder) Admit(now time.Time) bool {
-	h.refillAll(now)
 	h.demand.count(now)
+	return h.AdmitAgain(now)
+}
+
+// AdmitAgain is Admit for a request that was refused before; it does not count
+// as a new arrival.
+func (h *Holder) AdmitAgain(now time.Time) bool {
+	h.refillAll(now)
 	base, dynamic := &h.pieces[Base], &h.pieces[Dynamic]
 	if base.level+dynamic.level < 1 {
 		h.demand.unmet++
@@ -138,10 +146,11 @@
 	h.open, h.waiting = open, waiting
 }
 
-// Holds reports whether the holder has any valid grant or tokens to return.
+// Holds reports whether the holder has any valid grant, tokens to return or
+// units in use.
 func (h *Holder) Holds(now time.Time) bool {
 	h.refillAll(now)
-	return h.pieces[Base].held || h.pieces[Dynamic].held || len(h.returned) > 0
+	return h.open > 0 || h.pieces[Base].held || h.pieces[Dynamic].held || len(h.returned) > 0
 }
 
 // Epoch returns the highest epoch that the holder has seen.
--- a/share/message.go
+++ b/share/message.go
@@ -48,6 +48,9 @@
 	// Level is the tokens that an answer adds, or that a call reports or
 	// returns.
 	Level float64
+	// Limit is the fleet's limit when the grant was issued. A later owner does
+	// not extend a grant that was issued under a higher limit than its own.
+	Limit Limit
 	// Validity is counted by the holder from before it sent the call.
 	Validity time.Duration
 }
@@ -107,6 +110,8 @@
 		checkAmount("grant rate", g.Rate),
 		checkAmount("grant capacity", g.Capacity),
 		checkAmount("grant level", g.Level),
+		checkAmount("grant limit rate", g.Limit.Rate),
+		checkAmount("grant limit capacity", g.Limit.Capacity),
 	)
 }
 
--- a/share/owner.go
+++ b/share/owner.go
@@ -9,10 +9,15 @@
 type form struct {
 	grant   Grant
 	expires time.Time
+	// adopted forms are only extended if they were issued under a limit that
+	// is not above the present one. Otherwise several owners in a row, each
+	// reached by other holders, would keep a lowered limit exceeded.
+	adopted bool
 }
 
 // account is what the owner knows of one holder.
 type account struct {
+	id       HolderID
 	sequence uint64
 	// forms holds, per class, the grant confirmed by the last call and the one
 	// offered in the last answer. The larger counts.
@@ -46,6 +51,9 @@
 	hosts int
 
 	holders map[HolderID]*account
+	// order is the holders in the order of their first calls, so that sums
+	// over them round in the same way each time.
+	order []*account
 	// granted is the sum of what counts for all holders, by class.
 	granted  [classCount]Limit
 	reserves [classCount]reserve
@@ -60,8 +68,13 @@
 	floor float64
 }
 
+// firstEpoch has no predecessors, because the epochs of a resource start at 1
+// and are kept permanently.
+const firstEpoch = 1
+
 // NewOwner returns the owner of a new epoch that begins at now. It grants
-// nothing new until the grants of earlier epochs have expired.
+// nothing new until the grants of earlier epochs have expired. In the first
+// epoch there are none, and the bucket is full.
 func NewOwner(cfg Config, epoch uint64, limit Limit, hosts int, now time.Time) *Owner {
 	o := &Owner{
 		cfg:     cfg,
@@ -71,7 +84,10 @@
 		holders: map[HolderID]*account{},
 		updated: now,
 	}
-	if cfg.skipWait {
+	if epoch <= firstEpoch {
+		o.level = limit.Capacity
+	}
+	if epoch <= firstEpoch || cfg.skipWait {
 		return o
 	}
 	for class := range o.reserves {
@@ -126,13 +142,19 @@
 
 // pool returns the rate and capacity that are not granted and not reserved.
 func (o *Owner) pool() Limit {
+	free := o.free()
+	return Limit{max(0, free.Rate), max(0, free.Capacity)}
+}
+
+// free is pool, but negative while grants of a higher limit are out.
+func (o *Owner) free() Limit {
 	free := o.limit
 	for class := range o.granted {
 		reserved := o.reserved(Class(class))
 		free.Rate -= o.granted[class].Rate + reserved.Rate
 		free.Capacity -= o.granted[class].Capacity + reserved.Capacity
 	}
-	return Limit{max(0, free.Rate), max(0, free.Capacity)}
+	return free
 }
 
 // advance refills the pool and ends what has expired.
@@ -201,8 +223,9 @@
 	o.advance(now)
 	a, known := o.holders[call.Holder]
 	if !known {
-		a = &account{}
+		a = &account{id: call.Holder}
 		o.holders[call.Holder] = a
+		o.order = append(o.order, a)
 	}
 	if call.Sequence <= a.sequence {
 		return Answer{}, fmt.Errorf("call %d of %s: %w", call.Sequence, call.Holder.Host, ErrOldCall)
@@ -233,6 +256,8 @@
 		for _, f := range a.forms[g.Class] {
 			if f.grant.ID == g.ID && f.grant.Epoch == g.Epoch {
 				o.level += min(g.Level, f.grant.Capacity)
+				// A renewed grant has two forms with the same ID.
+				break
 			}
 		}
 	}
@@ -251,14 +276,17 @@
 	}
 }
 
-// confirm finds the form that a holder reports to use.
+// confirm finds the form that a holder reports to use. Units stay in use until
+// their connections are closed, so they count up to the largest form whatever
+// grant the holder names.
 func (o *Owner) confirm(forms []form, held Grant) (form, bool) {
 	var kept form
 	var found bool
 	var most float64
 	var last time.Time
 	for _, f := range forms {
-		if f.grant.ID == held.ID && f.grant.Epoch == held.Epoch {
+		same := f.grant.ID == held.ID && f.grant.Epoch == held.Epoch
+		if same || o.cfg.Kind == Units {
 			kept, found = f, true
 		}
 		most = max(most, f.grant.Capacity)
@@ -267,7 +295,6 @@
 		}
 	}
 	if found && o.cfg.Kind == Units {
-		// Units stay in use until their connections are closed.
 		kept.grant.Capacity = min(held.Capacity, most)
 		kept.expires = last
 	}
@@ -275,14 +302,24 @@
 }
 
 // adopt takes over a grant of an earlier epoch if it fits into what is
-// reserved for such grants. One that does not fit gets no renewal.
+// reserved for such grants. One that does not fit gets no renewal. A grant that
+// was issued under a higher limit counts in addition, because the reserve is
+// for those that the present limit allows.
 func (o *Owner) adopt(a *account, g Grant, now time.Time) {
 	left := o.reserved(g.Class)
-	if g.Rate > left.Rate+roundingSlack || g.Capacity > left.Capacity+roundingSlack {
+	r := &o.reserves[g.Class]
+	switch {
+	case r.active && o.above(g):
+	case g.Rate > left.Rate+roundingSlack || g.Capacity > left.Capacity+roundingSlack:
 		return
+	default:
+		r.adopted.Rate += g.Rate
+		r.adopted.Capacity += g.Capacity
 	}
-	adopted := &o.reserves[g.Class].adopted
-	adopted.Rate += g.Rate
-	adopted.Capacity += g.Capacity
-	a.forms[g.Class] = []form{{grant: g, expires: now.Add(o.cfg.counted(g.Class))}}
+	a.forms[g.Class] = []form{{grant: g, expires: now.Add(o.cfg.counted(g.Class)), adopted: true}}
+}
+
+// above reports whether a grant was issued under a higher limit.
+func (o *Owner) above(g Grant) bool {
+	return g.Limit.Rate > o.limit.Rate || g.Limit.Capacity > o.limit.Capacity
 }
--- a/share/policy.go
+++ b/share/policy.go
@@ -52,20 +52,10 @@
 // scan ends expired forms and computes the water levels of the policy.
 func (o *Owner) scan(now time.Time) {
 	o.scanned = now
+	o.sum(now)
 	var needs [2][]float64
 	var missing Limit
-	o.granted = [classCount]Limit{}
-	for id, a := range o.holders {
-		a.expire(now)
-		for class := range o.granted {
-			c := a.counted(Class(class))
-			o.granted[class].Rate += c.Rate
-			o.granted[class].Capacity += c.Capacity
-		}
-		if now.Sub(a.seen) > forgetAfter {
-			delete(o.holders, id)
-			continue
-		}
+	for _, a := range o.order {
 		if now.Sub(a.seen) > o.cfg.counted(Dynamic) {
 			continue
 		}
@@ -76,7 +66,7 @@
 		needs[0] = append(needs[0], need.Rate)
 		needs[1] = append(needs[1], need.Capacity)
 	}
-	free := o.pool()
+	free := o.free()
 	supply := Limit{
 		Rate:     max(0, free.Rate+o.granted[Dynamic].Rate-missing.Rate),
 		Capacity: max(0, free.Capacity+o.granted[Dynamic].Capacity-missing.Capacity),
@@ -89,6 +79,25 @@
 	o.fill = Limit{waterLevel(needs[0], supply.Rate), waterLevel(needs[1], supply.Capacity)}
 }
 
+// sum ends expired forms and counts all grants anew, so that rounding errors
+// of single changes do not add up.
+func (o *Owner) sum(now time.Time) {
+	o.granted = [classCount]Limit{}
+	o.order = slices.DeleteFunc(o.order, func(a *account) bool {
+		a.expire(now)
+		for class := range o.granted {
+			c := a.counted(Class(class))
+			o.granted[class].Rate += c.Rate
+			o.granted[class].Capacity += c.Capacity
+		}
+		if now.Sub(a.seen) <= forgetAfter {
+			return false
+		}
+		delete(o.holders, a.id)
+		return true
+	})
+}
+
 // need returns what a holder should have beyond its base grant.
 func (o *Owner) need(a *account) Limit {
 	base := a.counted(Base)
@@ -135,6 +144,9 @@
 			target = o.dynamicTarget(a)
 		}
 		current, has := o.confirmed(a, class)
+		if has && o.mustLapse(a.forms[class][0]) {
+			continue
+		}
 		if has || target.Rate > 0 || target.Capacity > 0 {
 			grants = append(grants, o.grant(a, class, current, target, now))
 		}
@@ -145,6 +157,12 @@
 	return grants
 }
 
+// mustLapse reports whether an adopted grant may not be extended yet, because
+// this owner does not know all grants of its class.
+func (o *Owner) mustLapse(f form) bool {
+	return f.adopted && o.above(f.grant) && o.reserves[f.grant.Class].active
+}
+
 // confirmed returns the only form that a settled account has in a class.
 func (o *Owner) confirmed(a *account, class Class) (Grant, bool) {
 	if len(a.forms[class]) == 0 {
@@ -164,16 +182,16 @@
 	if o.cfg.Kind == Units {
 		next.Capacity = whole(next.Capacity)
 	}
-	if current.Epoch != o.epoch || o.differs(current, next) {
+	if current.Epoch != o.epoch || current.Limit != o.limit || o.differs(current, next) {
 		o.nextID++
-		next.ID, next.Epoch = o.nextID, o.epoch
+		next.ID, next.Epoch, next.Limit = o.nextID, o.epoch, o.limit
 	} else {
 		next = current
 	}
 	next.Level = 0
 	next.Validity = o.cfg.validity(class)
 	o.change(a, func() {
-		a.forms[class] = append(a.forms[class], form{next, now.Add(o.cfg.counted(class))})
+		a.forms[class] = append(a.forms[class], form{grant: next, expires: now.Add(o.cfg.counted(class))})
 	})
 	return next
 }
@@ -196,6 +214,16 @@
 	return min(c.need(wanted), max(1, fillPart*capacity))
 }
 
+// refillRoom returns the room that the pool leaves to a grant's own refill. A
+// grant too small for the need is kept full from the pool and leaves none.
+func (o *Owner) refillRoom(a *account, dynamic float64) float64 {
+	fill := o.cfg.fillLevel(a.wanted, a.counted(Base).Capacity+dynamic)
+	if fill < o.cfg.need(a.wanted) {
+		return 0
+	}
+	return max(0, dynamic-fill)
+}
+
 // topUp moves tokens from the pool to the grants, as far as the holder needs.
 func (o *Owner) topUp(a *account, grants, held []Grant) {
 	var levels [classCount]float64
@@ -246,8 +274,7 @@
 	target := Limit{min(need.Rate, o.fill.Rate), min(need.Capacity, o.fill.Capacity)}
 	if o.cfg.Kind == Rate && need.Capacity > 0 {
 		target.Capacity = max(target.Capacity, o.floor-a.counted(Base).Capacity)
-		room := target.Capacity - o.cfg.fillLevel(a.wanted, a.counted(Base).Capacity+target.Capacity)
-		target.Rate = min(target.Rate, max(0, room)/fillTime.Seconds())
+		target.Rate = min(target.Rate, o.refillRoom(a, target.Capacity)/fillTime.Seconds())
 	}
 	if o.cfg.Kind == Units && !math.IsInf(o.fill.Capacity, 1) {
 		// A fraction goes to whoever asks first, as far as the pool has it.
