Add the share runner: admission, connection limits and borrowing

Cause: a host admits requests and opens connections within the fleet's limits. Change: internal/shares runs the holders of all accounts and instances and the owners of the control buckets that the host holds. One call is under way per owner; what becomes due meanwhile goes with the next. Buckets of this host are served in process. AdmitWithin waits for a borrow; Drain returns everything. shares.proto: epoch and leaving move to the demand, because a batch covers several buckets, and grants carry the limit they were issued under.

--- /dev/null
+++ b/internal/shares/owners.go
@@ -0,0 +1,217 @@
+package shares
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/control"
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/membership"
+	"github.com/bramleylever/bramleylever/internal/records"
+	"github.com/bramleylever/bramleylever/share"
+)
+
+// bucketOwner is the owner state of one bucket in one epoch. It outlasts a
+// lease that is renewed late, because nobody else granted in that epoch.
+type bucketOwner struct {
+	epoch uint64
+	held  bool
+	cores map[resource]*share.Owner
+}
+
+// owners keeps the owner cores of the buckets that this host holds. A bucket
+// that was lost and regained has a new epoch and starts anew.
+type owners struct {
+	options Options
+	stats   stats
+
+	mu      sync.Mutex
+	buckets map[uint32]*bucketOwner
+	hosts   int
+	// limits is the limits of the snapshot that was last seen.
+	limits   map[resource]share.Limit
+	snapshot *records.Snapshot
+}
+
+func newOwners(options Options, s stats) *owners {
+	return &owners{options: options, stats: s, buckets: map[uint32]*bucketOwner{}, hosts: 1}
+}
+
+// readLimits brings the limits up to date with the records.
+func (o *owners) readLimits() {
+	snapshot := o.options.Feed.Current()
+	if snapshot == o.snapshot {
+		return
+	}
+	o.snapshot = snapshot
+	o.limits = map[resource]share.Limit{}
+	for name, a := range snapshot.Accounts {
+		o.limits[resource{share.Rate, name}] = share.Limit{Rate: a.RequestsPerSecond, Capacity: a.Burst}
+	}
+	for _, db := range snapshot.Databases {
+		for _, in := range db.Instances {
+			o.limits[resource{share.Units, in.Name}] = share.Limit{Capacity: float64(db.ConnectionLimit)}
+		}
+	}
+}
+
+// refresh takes over buckets, gives up lost ones and follows the records and
+// the number of hosts, so that the waiting time of a new epoch begins at once.
+func (o *owners) refresh(now time.Time) {
+	hosts := 0
+	for _, m := range o.options.Members.Members() {
+		if m.State == membership.StateAlive && !m.Draining {
+			hosts++
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.hosts = max(1, hosts)
+	o.readLimits()
+	owned := 0
+	for bucket := uint32(0); bucket < control.BucketCount; bucket++ {
+		if _, ok := o.holding(bucket); ok {
+			owned++
+		}
+	}
+	o.stats.owned.Update(int64(owned))
+	if owned == 0 {
+		return
+	}
+	for of, limit := range o.limits {
+		o.core(of, limit, now)
+	}
+}
+
+// holding returns the owner state of a bucket if this host holds it now.
+func (o *owners) holding(bucket uint32) (*bucketOwner, bool) {
+	epoch, held := o.options.Buckets.Held(bucket)
+	b, had := o.buckets[bucket]
+	if had && b.held && (!held || b.epoch != epoch) {
+		b.held = false
+		o.log("share_owner_lost", bucket, b.epoch)
+	}
+	if !held {
+		return nil, false
+	}
+	if !had || b.epoch != epoch {
+		b = &bucketOwner{epoch: epoch, cores: map[resource]*share.Owner{}}
+		o.buckets[bucket] = b
+	}
+	if !b.held {
+		b.held = true
+		o.log("share_owner_gained", bucket, epoch)
+	}
+	return b, true
+}
+
+func (o *owners) log(decision string, bucket uint32, epoch uint64) {
+	if o.options.Log == nil {
+		return
+	}
+	o.options.Log.Info("share ownership changed",
+		zap.String(logging.FieldDecision, decision),
+		zap.Uint32("bucket", bucket),
+		zap.Uint64("epoch", epoch))
+}
+
+// core returns the owner of a resource, with its present limit, if this host
+// holds the bucket.
+func (o *owners) core(of resource, limit share.Limit, now time.Time) (*share.Owner, bool) {
+	b, ok := o.holding(of.bucket())
+	if !ok {
+		return nil, false
+	}
+	core, ok := b.cores[of]
+	if !ok {
+		core = share.NewOwner(config(of.kind), b.epoch, limit, o.hosts, now)
+		b.cores[of] = core
+	}
+	core.SetLimit(limit, now)
+	core.SetHosts(o.hosts)
+	return core, true
+}
+
+// handle answers the demands of one holder. Demands for resources that this
+// host does not own are left out.
+func (o *owners) handle(in *peerv1.BorrowRequest, now time.Time) (*peerv1.BorrowReply, error) {
+	if in.GetSender().GetHost() == "" {
+		return nil, status.Error(codes.InvalidArgument, "borrow: sender.host is empty")
+	}
+	reply := &peerv1.BorrowReply{Sender: o.options.Identity.Sender()}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.readLimits()
+	owned := 0
+	for i, d := range in.GetDemands() {
+		of := resource{kindOf(d.GetKind()), d.GetResource()}
+		limit, ok := o.limits[of]
+		if !ok {
+			continue
+		}
+		core, ok := o.core(of, limit, now)
+		if !ok {
+			continue
+		}
+		owned++
+		answer, err := handleOne(core, in.GetSender(), d, now)
+		if errors.Is(err, share.ErrMalformed) {
+			o.stats.rejected.Inc(1)
+			return nil, status.Errorf(codes.InvalidArgument, "borrow: peer %s: demands[%d]: %s",
+				in.GetSender().GetHost(), i, err)
+		}
+		if err != nil {
+			o.stats.rejected.Inc(1)
+			continue
+		}
+		o.stats.handled.Inc(1)
+		reply.Grants = append(reply.Grants, &peerv1.ResourceGrants{
+			Kind:     d.GetKind(),
+			Resource: d.GetResource(),
+			Grants:   grantMessages(answer.Grants),
+			Sequence: answer.Sequence,
+			Epoch:    answer.Epoch,
+		})
+	}
+	if owned == 0 {
+		return nil, status.Error(codes.NotFound, "borrow: this host owns none of the resources")
+	}
+	return reply, nil
+}
+
+func handleOne(core *share.Owner, sender *peerv1.Sender, d *peerv1.Demand, now time.Time) (share.Answer, error) {
+	call, err := callOf(sender, d)
+	if err != nil {
+		return share.Answer{}, err
+	}
+	answer, err := core.Handle(call, now)
+	if err != nil {
+		return share.Answer{}, fmt.Errorf("%s: %w", d.GetResource(), err)
+	}
+	return answer, nil
+}
+
+// server is the gRPC side of the owners.
+type server struct {
+	peerv1.UnimplementedSharesServer
+	runner *Runner
+}
+
+// Register adds the service to a gRPC server.
+func (r *Runner) Register(s grpc.ServiceRegistrar) {
+	peerv1.RegisterSharesServer(s, &server{runner: r})
+}
+
+// Borrow handles the call of another host.
+func (s *server) Borrow(_ context.Context, in *peerv1.BorrowRequest) (*peerv1.BorrowReply, error) {
+	return s.runner.owners.handle(in, s.runner.options.Now())
+}
--- /dev/null
+++ b/internal/shares/shares_test.go
@@ -0,0 +1,127 @@
+package shares
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestShares(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "shares")
+}
+
+// fault is one row of the fault table.
+type fault struct {
+	name string
+	// apply changes the fleet after a warm-up.
+	apply func(f *testFleet)
+	// served is the least part of the rate admitted in the 10 s that follow.
+	served float64
+}
+
+func faults() []fault {
+	pauseHolder := func(f *testFleet) {
+		f.hosts[1].paused = true
+		f.run(5 * time.Second)
+		f.hosts[1].paused = false
+	}
+	ownerLoses := func(f *testFleet) {
+		f.hosts[0].paused = true
+		f.platformDown()
+		f.run(3 * time.Second)
+		f.takeOver("h2")
+		f.hosts[0].paused = false
+	}
+	cutHolder := func(f *testFleet) { f.hosts[1].cut = true }
+	loseAnswers := func(f *testFleet) { f.hosts[1].loseAnswers = true }
+	lower := func(f *testFleet) { f.changeLimit(testRate/4, testBurst/4) }
+	return []fault{
+		{"none", func(*testFleet) {}, 0.9},
+		{"holder paused past its validity", pauseHolder, 0.9},
+		{"owner paused past its lease while a new one grants", ownerLoses, 0.5},
+		{"holder cut off", cutHolder, 0.8},
+		{"answers lost", loseAnswers, 0.7},
+		{"platform down", func(f *testFleet) { f.platformDown() }, 0.2},
+		{"limit lowered", lower, 0.2},
+		{"holder cut off while the owner changes", func(f *testFleet) { cutHolder(f); ownerLoses(f) }, 0.4},
+		{"answers lost while the limit is lowered", func(f *testFleet) { loseAnswers(f); lower(f) }, 0.15},
+		{"holder paused while the owner changes twice", func(f *testFleet) {
+			f.hosts[1].paused = true
+			f.takeOver("h2")
+			f.run(time.Second)
+			f.takeOver("h3")
+			f.hosts[1].paused = false
+		}, 0.5},
+	}
+}
+
+// Guards against a fleet that admits more than burst + rate * window under a
+// fault, and against one that stops to serve.
+func TestPromise7RateUnderFaults(t *testing.T) {
+	for _, row := range faults() {
+		t.Run("Promise 7: "+row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newTestFleet(4)
+			f.run(8 * time.Second)
+			row.apply(f)
+			before := f.admitted
+			f.run(10 * time.Second)
+			served := float64(f.admitted-before) / (testRate * 10)
+			t.Logf("served %.0f%% of the rate, excess over the ideal bucket %.2f", 100*served, f.excess)
+			g.Expect(f.excess).To(BeNumerically("<=", 1e-6))
+			g.Expect(served).To(BeNumerically(">=", row.served))
+		})
+	}
+}
+
+// Guards against more connections to an instance than it allows.
+func TestPromise7UnitsUnderFaults(t *testing.T) {
+	for _, row := range faults() {
+		t.Run("Promise 7: units: "+row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newTestFleet(4)
+			open := map[string]int{}
+			watch := func(d time.Duration) {
+				for end := f.now + d; f.now < end; {
+					f.step(25*time.Millisecond, 0)
+					g.Expect(f.openUnits(open)).To(BeNumerically("<=", testUnits))
+				}
+			}
+			watch(20 * time.Second)
+			row.apply(f)
+			watch(20 * time.Second)
+			for _, h := range f.hosts {
+				g.Expect(open[h.name]).To(BeNumerically(">=", 1), h.name)
+			}
+		})
+	}
+}
+
+// Guards against a drain that leaves shares behind until they expire.
+func TestDrainReturnsShares(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(2)
+	f.run(5 * time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	g.Expect(f.hosts[1].runner.Drain(ctx)).To(Succeed())
+	g.Expect(f.hosts[1].runner.Admit(testAccount, f.hosts[1].clock())).To(BeFalse())
+	f.hosts[1].paused = true
+	before := f.admitted
+	f.run(2 * time.Second)
+	g.Expect(float64(f.admitted-before) / (2 * testRate)).To(BeNumerically(">=", 0.9))
+	g.Expect(f.excess).To(BeNumerically("<=", 1e-6))
+}
+
+// Guards against requests of accounts that operators never accepted.
+func TestUnknownNamesAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	f := newTestFleet(1)
+	f.run(5 * time.Second)
+	g.Expect(f.hosts[0].runner.Admit("nobody", f.hosts[0].clock())).To(BeFalse())
+	g.Expect(f.hosts[0].runner.Limit("nowhere", f.hosts[0].clock())).To(BeZero())
+}
