--- a/internal/e2e/stack_test.go
+++ b/internal/e2e/stack_test.go
@@ -43,6 +43,8 @@
 	address string
 }
 
+var tweak func(*frontend.Config)
+
 type fixedBudget struct{ limit int }
 
 func snapshotOf(group *standin.Group) (*records.Snapshot, error) {
@@ -83,6 +85,9 @@
 	if len(budgets) > 0 {
 		config.Pool.Budget = budgets[0]
 	}
+	if tweak != nil {
+		tweak(&config)
+	}
 	server := frontend.New(config)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -26,11 +26,13 @@
 		Topology: p.topology,
 		Pool: pool.Config{
 			Credentials: pool.Credentials{User: s.Backend.User, Password: password},
+			Budget:      p.shares,
 			Dial:        pool.DialFunc(p.dial),
 			Warm:        warmConnections,
 			DialTimeout: s.Backend.ConnectTimeout,
 			Registry:    p.registry,
 		},
+		Limiter:   p.shares,
 		Confirmed: p.confirmed,
 		TLS:       tlsConfig,
 		Selection: s.Routing.Policy,
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -32,6 +33,7 @@
 	"github.com/bramleylever/bramleylever/internal/platform"
 	"github.com/bramleylever/bramleylever/internal/records"
 	"github.com/bramleylever/bramleylever/internal/settings"
+	"github.com/bramleylever/bramleylever/internal/shares"
 	"github.com/bramleylever/bramleylever/internal/topology"
 )
 
@@ -68,6 +70,7 @@
 	elector  *control.Elector
 	records  *records.Runner
 	failover *failover.Runner
+	shares   *shares.Runner
 	frontend *frontend.Server
 	admin    *admin.Server
 
@@ -167,6 +170,7 @@
 	p.members.Register(p.server)
 	peerv1.RegisterRecordsServer(p.server, p.records)
 	p.failover.Register(p.server)
+	p.shares.Register(p.server)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stopControl = cancel
 	p.feed.Subscribe(func(snapshot *records.Snapshot) {
@@ -178,6 +182,7 @@
 	p.run(ctx, "elector", p.elector.Run)
 	p.run(ctx, "records", p.records.Run)
 	p.run(ctx, "failover", p.failover.Run)
+	p.run(ctx, "shares", p.shares.Run)
 	return nil
 }
 
@@ -241,6 +246,15 @@
 	p.members.OnDigest(func(from membership.Member, d membership.Digest) {
 		p.failover.OnDigest(from, d.TopologyHash)
 	})
+	p.shares = shares.New(shares.Options{
+		Identity: p.identity,
+		Feed:     p.feed,
+		Members:  p.members,
+		Buckets:  p.elector,
+		Peers:    p.peers,
+		Metrics:  p.registry,
+		Log:      p.log.Named("shares"),
+	})
 	return nil
 }
 
@@ -344,6 +358,7 @@
 	case <-ctx.Done():
 	}
 	err := p.frontend.Drain(ctx)
+	err = errors.Join(err, p.shares.Drain(ctx))
 	p.members.Leave(ctx)
 	p.Close()
 	p.log.Info("drain ended", zap.String("decision", "drain"), zap.Error(err))
