--- a/internal/failover/bench_test.go
+++ b/internal/failover/bench_test.go
@@ -70,3 +70,30 @@
 	f.group.get(primary).frozen = true
 	f.group.mu.Unlock()
 }
+
+// BenchmarkCore measures what a healthy database costs: the coordinator per
+// report with ten failure domains, and the prober per tick.
+func BenchmarkCore(b *testing.B) {
+	w := newWorld("a", "b", "c", "d", "e", "f", "g", "h", "i", "j")
+	w.lead(0)
+	w.rounds(20)
+	b.Run("report", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			w.step(w.coordinators[0], w.reports["a"])
+		}
+	})
+	b.Run("prober tick", func(b *testing.B) {
+		p := NewProber()
+		now := time.Unix(0, 0)
+		p.Configure(now, w.coordinators[0].core.instances)
+		b.ReportAllocs()
+		for b.Loop() {
+			now = now.Add(tickInterval)
+			calls, _ := p.Tick(now)
+			for _, call := range calls {
+				p.Result(now, call, w.group.instances[0].status(), nil)
+			}
+		}
+	})
+}
