Back off between the attempts of a planned switchover

New writes wait while an attempt is under way. With a constant second between attempts, a transaction that stays open for long made them wait a fifth of the time. The pause now doubles from 1 s to 8 s.

--- a/internal/failover/coordinator.go
+++ b/internal/failover/coordinator.go
@@ -151,6 +151,7 @@
 func (c *Coordinator) abandon(reason string) {
 	c.attempt = nil
 	c.switchover = nil
+	c.attempts = 0
 	clear(c.calls)
 	for _, r := range c.requests {
 		c.finishRequest(r, false, reason)
--- a/internal/failover/switchover.go
+++ b/internal/failover/switchover.go
@@ -19,8 +19,12 @@
 	raiseBefore = 200 * time.Millisecond
 	// catchUpPoll spaces the status calls to the target.
 	catchUpPoll = 5 * time.Millisecond
-	// switchoverRetry gives open transactions time to end between attempts.
+	// switchoverRetry gives open transactions time to end after the first
+	// attempt. It doubles with each one, because new writes wait during an
+	// attempt: with a constant second they would wait a fifth of the time.
 	switchoverRetry = time.Second
+	// maxSwitchoverDoublings bounds the time between attempts to 8 s.
+	maxSwitchoverDoublings = 3
 	// requestAttempts bounds the attempts for a requested switchover. A
 	// switchover of a leaving primary is retried without a bound.
 	requestAttempts = 5
@@ -53,6 +57,7 @@
 		c.requests = append(c.requests, r)
 		if c.switchover == nil {
 			c.nextPlanned = now
+			c.attempts = 0
 		}
 	}
 }
@@ -135,7 +140,7 @@
 	if !ok {
 		return
 	}
-	c.attempts++
+	c.attempts = min(c.attempts+1, requestAttempts)
 	c.switchover = &switchover{started: now, target: target}
 	c.log("quiesce", primary.Name, c.current.Term, "planned switchover to "+target.Name)
 	c.call(CallQuiesce, primary, Call{Term: c.current.Term, Limit: quiesceLimit, Timeout: quiesceLimit})
@@ -156,7 +161,7 @@
 	c.log("release_switchover", c.switchover.target.Name, c.current.Term, reason)
 	c.switchover = nil
 	clear(c.calls)
-	c.nextPlanned = now.Add(switchoverRetry)
+	c.nextPlanned = now.Add(switchoverRetry << min(c.attempts-1, maxSwitchoverDoublings))
 	if c.attempts < requestAttempts {
 		return
 	}
@@ -164,7 +169,6 @@
 		c.finishRequest(r, false, reason)
 	}
 	c.requests = nil
-	c.attempts = 0
 }
 
 func (c *Coordinator) switchoverAnswer(now time.Time, call Call, a Answer) {
