Keep late changes of a test from reaching the next one

A spec that failed early left a timer that changed the topology of the next spec's proxy, so switching off the confirmation of the primary also failed the fallback test. Timers now keep their own proxy.

--- a/internal/frontend/outcome_test.go
+++ b/internal/frontend/outcome_test.go
@@ -226,6 +226,7 @@
 		b.primary.set(func() { b.primary.primary = false })
 		conn := b.connect("")
 		defer conn.Close(ctx())
+		b := b // a late change must not reach the next spec
 		time.AfterFunc(120*time.Millisecond, func() {
 			b.replica.set(func() { b.replica.primary = true })
 			b.topology.Update(topology.Group{Database: "db", Term: term(2), Primary: "b"})
@@ -242,6 +243,7 @@
 			defer conn.Close(ctx())
 			Expect(exec(conn, "BEGIN")).To(BeEmpty())
 			b.primary.set(func() { b.primary.primary = false })
+			b := b // a late change must not reach the next spec
 			time.AfterFunc(100*time.Millisecond, func() {
 				b.replica.set(func() { b.replica.primary = true })
 				b.topology.Update(topology.Group{Database: "db", Term: term(2), Primary: "b"})
--- a/internal/frontend/promise_test.go
+++ b/internal/frontend/promise_test.go
@@ -112,6 +112,7 @@
 		b.primary.inject(failing("cluster_confirm_primary", "55P03"))
 		conn := b.connect("&bramleylever.session_id=s1")
 		defer conn.Close(ctx())
+		b := b // a late change must not reach the next spec
 		time.AfterFunc(150*time.Millisecond, func() {
 			b.replica.set(func() { b.replica.applied, b.replica.primary = 7, true })
 			b.topology.Update(topology.Group{Database: "db", Term: term(2), Primary: "b"})
