--- a/internal/e2e/frontend_test.go
+++ b/internal/e2e/frontend_test.go
@@ -58,4 +58,16 @@
 		_, err = conn.Exec(ctx, "INSERT INTO slots VALUES (1, 'twice')")
 		Expect(err).To(MatchError(ContainSubstring("23505")))
 	}, NodeTimeout(30*time.Second))
+
+	// Guards against a session that forgets a prepared statement because a
+	// lagging replica refused it before the read went to the primary.
+	It("keeps statements that a lagging replica could not prepare", func(ctx SpecContext) {
+		conn := connect()
+		_, err := conn.Exec(ctx, "CREATE TABLE readings (depth bigint)")
+		Expect(err).NotTo(HaveOccurred())
+		for range 3 {
+			var count int
+			Expect(conn.QueryRow(ctx, "SELECT count(*) FROM readings WHERE depth = $1", int64(1)).Scan(&count)).To(Succeed())
+		}
+	}, NodeTimeout(30*time.Second))
 })
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -1,15 +1,36 @@
 package proxy
 
 import (
+	"context"
+	"time"
+
 	"github.com/bramleylever/bramleylever/internal/frontend"
 	"github.com/bramleylever/bramleylever/internal/pool"
 	"github.com/bramleylever/bramleylever/internal/records"
+	"github.com/bramleylever/bramleylever/internal/shares"
 )
 
 // warmConnections are kept open to each instance, because opening one takes
 // 10 to 30 ms.
 const warmConnections = 1
 
+// shareWait is how long a request without a token waits for its share, which
+// follows the demand between hosts within a few round trips.
+const shareWait = 100 * time.Millisecond
+
+// limiter admits requests within the shares of this host.
+type limiter struct{ shares *shares.Runner }
+
+// Admit implements frontend.Limiter.
+func (l limiter) Admit(account string, now time.Time) bool {
+	if l.shares.Admit(account, now) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), shareWait)
+	defer cancel()
+	return l.shares.AdmitWithin(ctx, account)
+}
+
 func (p *Proxy) frontendConfig() (frontend.Config, error) {
 	s := p.settings
 	tlsConfig, err := p.tlsConfig()
