Bound the hand-back of a drain

Cause: with the platform and the share owner out of reach, returning shares waited until the drain's limit, and the process exited with an error. Change: handing back takes at most 2 s a part; what stays out expires.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -358,13 +357,29 @@
 	case <-ctx.Done():
 	}
 	err := p.frontend.Drain(ctx)
-	err = errors.Join(err, p.shares.Drain(ctx))
-	p.members.Leave(ctx)
+	p.handBack()
 	p.Close()
 	p.log.Info("drain ended", zap.String("decision", "drain"), zap.Error(err))
 	return err
 }
 
+// handBackTimeout bounds each part of handing back. What cannot be handed back,
+// because the owner or the store is out of reach, expires by itself.
+const handBackTimeout = 2 * time.Second
+
+// handBack returns shares and tells peers that this host leaves. Buckets and
+// relays are given back when the elector ends.
+func (p *Proxy) handBack() {
+	ctx, cancel := context.WithTimeout(context.Background(), handBackTimeout)
+	defer cancel()
+	if err := p.shares.Drain(ctx); err != nil {
+		p.log.Warn("shares not returned", zap.String("step", "drain"), zap.Error(err))
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), handBackTimeout)
+	defer cancel()
+	p.members.Leave(ctx)
+}
+
 // Close ends the proxy at once; open transactions are rolled back by the
 // instances.
 func (p *Proxy) Close() {
