Wait up to 100 ms for a share before a request is refused

A host that a session has just roamed to holds only its base part and refuses until the owner's answer arrives. Change: a request without a token waits up to 100 ms for an answer.

--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -196,12 +195,3 @@
 	}
 	return out
 }
-
-// median returns the middle of the values, or 0 if there are none.
-func median(values []float64) float64 {
-	if len(values) == 0 {
-		return 0
-	}
-	slices.Sort(values)
-	return values[len(values)/2]
-}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -53,7 +53,7 @@
 			DialTimeout: s.Backend.ConnectTimeout,
 			Registry:    p.registry,
 		},
-		Limiter:   p.shares,
+		Limiter:   limiter{p.shares},
 		Confirmed: p.confirmed,
 		TLS:       tlsConfig,
 		Selection: s.Routing.Policy,
