--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -114,11 +114,12 @@
 
 func (o databaseOptions) config(logger *zap.Logger) databasestandin.Config {
 	return databasestandin.Config{
-		Name:      o.name,
-		GroupSize: o.groupSize,
-		User:      o.user,
-		Password:  o.password,
-		Logger:    logger,
+		Name:         o.name,
+		GroupSize:    o.groupSize,
+		User:         o.user,
+		Password:     o.password,
+		FaultAddress: o.faults,
+		Logger:       logger,
 		Settings: databasestandin.Settings{
 			Slots:           o.slots,
 			ConnectionLimit: o.connectionLimit,
@@ -140,7 +141,11 @@
 		return err
 	}
 	defer func() { _ = instance.Close() }()
+	defer instance.Discard()
 	fmt.Fprintf(env.out, "database %s %s\n", instance.Name(), instance.Address())
+	if o.faults != "" {
+		fmt.Fprintf(env.out, "faults %s\n", instance.FaultAddress())
+	}
 	<-ctx.Done()
 	return nil
 }
