Keep the process and its admin server during a long drain

Cause: go-zero stops its rest server 1 s after SIGTERM and quits the process after 5.5 s, while a drain may take up to 10 min. Change: both limits are above the longest drain; lines of go-zero go through the command's own log. Result: the process test drains with a transaction that commits 7 s after SIGTERM; readiness then still answers 503 and the process exits with 0.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -14,6 +14,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
 
@@ -23,6 +24,11 @@
 // startTimeout bounds how long Start waits for the listener.
 const startTimeout = 5 * time.Second
 
+// longestDrain is the largest drain limit in the settings. go-zero would stop
+// this server 1 s after SIGTERM and the process after 5.5 s, in the middle of
+// a drain.
+const longestDrain = 10 * time.Minute
+
 // Readiness tells the balancer whether to send callers here.
 type Readiness struct {
 	Ready bool `json:"ready"`
@@ -56,9 +62,10 @@
 	}
 	server, err := rest.NewServer(rest.RestConf{
 		ServiceConf: service.ServiceConf{
-			Name: "admin",
-			Mode: service.ProMode,
-			Log:  logx.LogConf{Mode: "console", Level: "info"},
+			Name:     "admin",
+			Mode:     service.ProMode,
+			Log:      logx.LogConf{Mode: "console", Level: "info"},
+			Shutdown: proc.ShutdownConf{WrapUpTime: longestDrain, WaitTime: longestDrain + time.Minute},
 		},
 		Host:     at.Addr().String(),
 		Port:     int(at.Port()),
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -26,8 +26,10 @@
 	return cmd
 }
 
-// untilSignal runs until SIGINT or SIGTERM.
+// untilSignal runs until SIGINT or SIGTERM. Lines of go-zero, which handles
+// signals too, are dropped until a command attaches its own log.
 func untilSignal(run func(ctx context.Context) error) error {
+	logging.AttachGoZero(zap.NewNop())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	return run(ctx)
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -163,6 +164,14 @@
 	return conn
 }
 
+// ready returns the status code of a proxy's readiness check.
+func ready(p *process) int {
+	response, err := http.Get("http://" + p.addresses["admin"] + "/health/ready")
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
 func positionOf(conn *pgx.Conn) string {
 	return conn.PgConn().ParameterStatus("bramleylever.session_position")
 }
@@ -203,8 +212,16 @@
 		_, err = second.Exec(ctx, "INSERT INTO bookings VALUES (3, 'third')")
 		Expect(err).NotTo(HaveOccurred())
 
-		By("draining a proxy")
+		By("draining a proxy with an open transaction, for longer than go-zero lets a process live")
+		open := f.connect(0, positionOf(second))
+		tx, err := open.Begin(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = tx.Exec(ctx, "UPDATE bookings SET grower = 'drained' WHERE id = 3")
+		Expect(err).NotTo(HaveOccurred())
 		f.proxies[0].signal(syscall.SIGTERM)
+		time.Sleep(7 * time.Second)
+		Expect(ready(f.proxies[0])).To(Equal(http.StatusServiceUnavailable))
+		Expect(tx.Commit(ctx)).To(Succeed())
 		Expect(f.proxies[0].command.Wait()).To(Succeed())
 		Expect(count(ctx, second)).To(Equal(3))
 	}, NodeTimeout(3*time.Minute))
