Move control buckets for balance at most every 10 minutes

Cause: each move starts an owner in a new epoch, which waits out the shares granted before: 10 s for connections, 10 min for the base reserve. With moves every 10 s after the start, requests waited 5 s for a connection and accounts within their rate were refused. Ruled out: lost demand reports of the pool (no 53300 without moves). Change: rebalanceInterval is 10 min.

--- a/internal/control/contest.go
+++ b/internal/control/contest.go
@@ -15,9 +15,10 @@
 	rankDelay = 50 * time.Millisecond
 	// loadDelay lets relays with fewer buckets go first.
 	loadDelay = 100 * time.Millisecond
-	// rebalanceInterval is long, because each move makes the next owner wait
-	// out the validity of the shares that were granted before.
-	rebalanceInterval = 10 * time.Second
+	// rebalanceInterval is as long as the longest validity of a share, which the
+	// next owner waits out. At 10 s, connections were missing for seconds and
+	// accounts within their rate were refused.
+	rebalanceInterval = 10 * time.Minute
 )
 
 // contest decides when this host tries for a bucket and when it gives one up.
