--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -12,14 +12,14 @@
 
 // Result is what a run measured. Durations are in milliseconds.
 type Result struct {
-	Workload   string          `json:"workload"`
-	Seconds    float64         `json:"seconds"`
-	Seed       uint64          `json:"seed"`
-	Requests   int             `json:"requests"`
-	Answered   int             `json:"answered"`
-	NotRun     int             `json:"not_run"`
-	Unknown    int             `json:"outcome_unknown"`
-	Failed     int             `json:"failed"`
+	Workload string  `json:"workload"`
+	Seconds  float64 `json:"seconds"`
+	Seed     uint64  `json:"seed"`
+	Requests int     `json:"requests"`
+	Answered int     `json:"answered"`
+	NotRun   int     `json:"not_run"`
+	Unknown  int     `json:"outcome_unknown"`
+	Failed   int     `json:"failed"`
 	// Reads and Writes leave out the account that sends more than its rate.
 	Reads      Latency         `json:"reads"`
 	Writes     Latency         `json:"writes"`
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -18,15 +18,30 @@
 // follows the demand between hosts within a few round trips.
 const shareWait = 100 * time.Millisecond
 
+// A host that has just started has no share until membership has shown it the
+// owners, which takes some exchanges of a second each. In that time requests
+// wait longer, because they would be refused although within the rate.
+const (
+	startPeriod    = 10 * time.Second
+	startShareWait = 3 * time.Second
+)
+
 // limiter admits requests within the shares of this host.
-type limiter struct{ shares *shares.Runner }
+type limiter struct {
+	shares  *shares.Runner
+	started time.Time
+}
 
 // Admit implements frontend.Limiter.
 func (l limiter) Admit(account string, now time.Time) bool {
 	if l.shares.Admit(account, now) {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), shareWait)
+	wait := shareWait
+	if now.Sub(l.started) < startPeriod {
+		wait = startShareWait
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	return l.shares.AdmitWithin(ctx, account)
 }
@@ -53,7 +68,7 @@
 			DialTimeout: s.Backend.ConnectTimeout,
 			Registry:    p.registry,
 		},
-		Limiter:   limiter{p.shares},
+		Limiter:   limiter{p.shares, p.now()},
 		Confirmed: p.confirmed,
 		TLS:       tlsConfig,
 		Selection: s.Routing.Policy,
