--- a/internal/cli/bench.go
+++ b/internal/cli/bench.go
@@ -12,6 +12,7 @@
 	"github.com/bramleylever/bramleylever/internal/bench"
 	"github.com/bramleylever/bramleylever/internal/deployment"
 	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/routing"
 	"github.com/bramleylever/bramleylever/internal/settings"
 )
 
@@ -73,6 +74,9 @@
 	if err != nil {
 		return usage("--workload: %w", err)
 	}
+	if _, err := routing.NewPolicy(o.policy, o.seed); err != nil {
+		return usage("--policy: %w", err)
+	}
 	faults, err := readFaults(o.faults)
 	if err != nil {
 		return err
--- a/internal/routing/policy.go
+++ b/internal/routing/policy.go
@@ -23,6 +23,9 @@
 	WaitingTimeWithError = "waiting_time_with_error"
 )
 
+// Policies are the names that NewPolicy accepts.
+var Policies = []string{RoundRobin, LeastOutstanding, PowerOfTwo, WaitingTimeWithError}
+
 // NewPolicy returns a policy by name; the empty name means PowerOfTwo.
 func NewPolicy(name string, seed uint64) (Policy, error) {
 	switch name {
--- a/internal/settings/ranges.go
+++ b/internal/settings/ranges.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"github.com/bramleylever/bramleylever/internal/routing"
+)
 
 // The ranges are checked here and not by conf, whose errors do not name the
 // field.
@@ -20,13 +24,10 @@
 	allowed     []string
 }
 
-// Policies are the names of the replica choice policies.
-var Policies = []string{"round_robin", "least_outstanding", "power_of_two", "waiting_time"}
-
 func (s *Settings) choices() []choice {
 	return []choice{
 		{"log.level", s.Log.Level, []string{"debug", "info", "warn", "error"}},
-		{"routing.policy", s.Routing.Policy, Policies},
+		{"routing.policy", s.Routing.Policy, routing.Policies},
 	}
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bramleylever/bramleylever/internal/routing"
 	"github.com/bramleylever/bramleylever/internal/settings"
 )
 
@@ -38,6 +39,19 @@
 		Expect(s.Routing.QueueWait).To(Equal(5 * time.Second))
 	})
 
+	// Guards against a policy that is accepted here and unknown to routing,
+	// which then uses its default.
+	It("accepts exactly the policies that routing has", func() {
+		for _, name := range routing.Policies {
+			s, err := settings.Parse(withExtra(`, "routing": {"policy": "` + name + `"}`))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = routing.NewPolicy(s.Routing.Policy, 1)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err := settings.Parse(withExtra(`, "routing": {"policy": "waiting_time"}`))
+		Expect(err).To(MatchError(ContainSubstring("routing.policy")))
+	})
+
 	// Guards against settings that are silently ignored or out of range.
 	DescribeTable("refuses with the path of the field", func(extra, path string) {
 		_, err := settings.Parse(withExtra(extra))
