Serve the users' platform through an adapter: first whole path

Cause: nothing of the product ran on the users' platform. New product packages hold the decisions (statement, catalog, connpool, staleness, quota, hosts, gateway, edge); platform/ translates the line protocol, the HTTP store, the registrations and the operators' documents.

Ruled out: a bucket in the store from which hosts draw tokens; small accounts were refused within their rate because their demand is on few hosts.

--- /dev/null
+++ b/internal/catalog/follower.go
@@ -0,0 +1,290 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/platform"
+)
+
+const (
+	// retryInterval is the pause after a failed read of the store.
+	retryInterval = 200 * time.Millisecond
+	// expiryInterval is how often lapsed servers are looked for.
+	expiryInterval = 250 * time.Millisecond
+	// listTimeout bounds one full read.
+	listTimeout = 3 * time.Second
+)
+
+// Layout tells where the catalog lies in the store and how to read it.
+type Layout struct {
+	// OperatorPrefix is the prefix of ConfigKey and EvacuationPrefix.
+	OperatorPrefix   string
+	ConfigKey        string
+	EvacuationPrefix string
+	ServerPrefix     string
+	// DecodeConfig and DecodeServer read one value; their errors name the
+	// field. The key is the part behind the prefix.
+	DecodeConfig func(value []byte) (*Config, error)
+	DecodeServer func(id string, value []byte) (Server, error)
+}
+
+// Follower keeps a catalog in step with the store.
+type Follower struct {
+	store  platform.Store
+	layout Layout
+	log    *zap.Logger
+	now    func() time.Time
+
+	current atomic.Pointer[Snapshot]
+
+	mu      sync.Mutex
+	view    *view
+	changed chan struct{}
+}
+
+// NewFollower returns a follower; Run starts it.
+func NewFollower(store platform.Store, layout Layout, log *zap.Logger) *Follower {
+	f := &Follower{
+		store: store, layout: layout, log: log, now: time.Now,
+		view: newView(), changed: make(chan struct{}),
+	}
+	f.current.Store(f.view.snapshot())
+	return f
+}
+
+// Snapshot returns the present view.
+func (f *Follower) Snapshot() *Snapshot { return f.current.Load() }
+
+// Changed returns a channel that is closed at the next change of the view.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// WaitReady waits until a configuration and the registrations were read.
+func (f *Follower) WaitReady(ctx context.Context) error {
+	for {
+		changed := f.Changed()
+		if f.Snapshot().Config != nil {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Run follows the store until ctx ends. After a gap in the history it reads
+// everything again.
+func (f *Follower) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, prefix := range []string{f.layout.OperatorPrefix, f.layout.ServerPrefix} {
+		group.Go(func() { f.runPrefix(ctx, prefix) })
+	}
+	f.expireLoop(ctx)
+	group.Wait()
+}
+
+func (f *Follower) runPrefix(ctx context.Context, prefix string) {
+	lost := time.Time{}
+	for ctx.Err() == nil {
+		revision, err := f.readAll(ctx, prefix)
+		if err == nil {
+			if !lost.IsZero() {
+				f.log.Info("store regained", zap.String("prefix", prefix), zap.Duration("lost_for", f.now().Sub(lost)))
+				lost = time.Time{}
+			}
+			err = f.follow(ctx, prefix, revision)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, platform.ErrCompacted) {
+			f.log.Info("store history compacted; reading again", zap.String("prefix", prefix))
+			continue
+		}
+		if lost.IsZero() {
+			lost = f.now()
+			f.log.Warn("store lost", zap.String(logging.FieldStep, "follow catalog"),
+				zap.String("prefix", prefix), zap.Error(err))
+		}
+		sleep(ctx, retryInterval)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (f *Follower) expireLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, expiryInterval)
+		f.mu.Lock()
+		if f.view.expire(f.now()) {
+			f.publish()
+		}
+		f.mu.Unlock()
+	}
+}
+
+// readAll reads all keys below a prefix and returns the revision to watch from.
+func (f *Follower) readAll(ctx context.Context, prefix string) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	asked := f.now()
+	items, revision, err := f.store.List(ctx, prefix)
+	if err != nil {
+		return 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	present := map[string]bool{}
+	for _, item := range items {
+		present[item.Key] = true
+		f.apply(platform.Event{KeyValue: item})
+	}
+	for _, key := range f.keys(prefix) {
+		if !present[key] {
+			f.apply(platform.Event{KeyValue: platform.KeyValue{Key: key}, Deleted: true})
+		}
+	}
+	f.view.confirm(prefix, asked)
+	f.publish()
+	return revision, nil
+}
+
+// keys returns the keys below a prefix that the view holds and that may be
+// deleted.
+func (f *Follower) keys(prefix string) []string {
+	var keys []string
+	if prefix == f.layout.ServerPrefix {
+		for id, server := range f.view.servers {
+			if server.Lapsed.IsZero() {
+				keys = append(keys, f.layout.ServerPrefix+id)
+			}
+		}
+		return keys
+	}
+	for domain := range f.view.evacuated {
+		keys = append(keys, f.layout.EvacuationPrefix+domain)
+	}
+	return keys
+}
+
+// follow applies changes from the revision after the one given until the
+// watch ends.
+func (f *Follower) follow(ctx context.Context, prefix string, revision int64) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	updates, err := f.store.Watch(ctx, prefix, revision+1)
+	if err != nil {
+		return err
+	}
+	for update := range updates {
+		if update.Err != nil {
+			return update.Err
+		}
+		f.mu.Lock()
+		for _, event := range update.Events {
+			f.apply(event)
+		}
+		if !update.Asked.IsZero() {
+			f.view.confirm(prefix, update.Asked)
+		}
+		f.publish()
+		f.mu.Unlock()
+	}
+	return ctx.Err()
+}
+
+// publish makes the view visible. The caller holds the lock.
+func (f *Follower) publish() {
+	f.current.Store(f.view.snapshot())
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// apply takes one change over. An entry that cannot be read is left out with a
+// log line; the others hold.
+func (f *Follower) apply(event platform.Event) {
+	switch {
+	case event.Key == f.layout.ConfigKey:
+		f.applyConfig(event)
+	case strings.HasPrefix(event.Key, f.layout.EvacuationPrefix):
+		domain := strings.TrimPrefix(event.Key, f.layout.EvacuationPrefix)
+		f.applyEvacuation(domain, event.Deleted)
+	case strings.HasPrefix(event.Key, f.layout.ServerPrefix):
+		f.applyServer(strings.TrimPrefix(event.Key, f.layout.ServerPrefix), event)
+	}
+}
+
+func (f *Follower) applyConfig(event platform.Event) {
+	if event.Deleted {
+		return
+	}
+	config, err := f.layout.DecodeConfig(event.Value)
+	if err != nil {
+		f.log.Error("configuration not usable", zap.String(logging.FieldStep, "decode configuration"),
+			zap.Int64(logging.FieldRevision, event.ModRevision), zap.Error(err))
+		return
+	}
+	if f.view.setConfig(config) {
+		f.log.Info("configuration in force", zap.Int64("config_version", config.Version),
+			zap.Int64(logging.FieldRevision, event.ModRevision), zap.Int("routes", len(config.Routes)))
+	}
+}
+
+func (f *Follower) applyEvacuation(domain string, ended bool) {
+	if f.view.evacuated[domain] == !ended {
+		return
+	}
+	f.log.Info("failure domain evacuation", zap.String(logging.FieldDomain, domain), zap.Bool("evacuated", !ended))
+	if ended {
+		delete(f.view.evacuated, domain)
+		return
+	}
+	f.view.evacuated[domain] = true
+}
+
+func (f *Follower) applyServer(id string, event platform.Event) {
+	if event.Deleted {
+		f.log.Info("backend server entry removed", zap.String(logging.FieldInstance, id))
+		f.view.lapseServer(id, f.now())
+		return
+	}
+	server, err := f.layout.DecodeServer(id, event.Value)
+	if err != nil {
+		f.log.Warn("backend server entry not usable", zap.String(logging.FieldInstance, id), zap.Error(err))
+		f.view.lapseServer(id, f.now())
+		return
+	}
+	server.Revision = event.ModRevision
+	f.logServer(&server)
+	f.view.putServer(server)
+}
+
+// logServer writes a line for a registration that changes where work goes.
+func (f *Follower) logServer(server *Server) {
+	old := f.view.servers[server.ID]
+	if old != nil && old.Role == server.Role && old.Draining == server.Draining && old.Started == server.Started {
+		return
+	}
+	f.log.Info("backend server entry", zap.String(logging.FieldInstance, server.ID),
+		zap.String("service", server.Service), zap.String(logging.FieldDomain, server.Domain),
+		zap.Stringer("role", server.Role), zap.Bool("draining", server.Draining),
+		zap.Int64(logging.FieldRevision, server.Revision))
+}
--- /dev/null
+++ b/internal/cli/gateway.go
@@ -0,0 +1,39 @@
+package cli
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/platform"
+)
+
+func newGateway(env environment) *cobra.Command {
+	var level string
+	cmd := &cobra.Command{
+		Use:   "gateway",
+		Short: "Run the gateway daemon on the users' platform",
+		Long: `Run the gateway daemon on the users' platform, which names the settings file in
+the environment. SIGTERM or SIGINT drains it: it turns not ready, ends sessions
+between transactions and exits.`,
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			s, err := platform.LoadSettings()
+			if err != nil {
+				return &ExitError{Code: ExitUsage, Err: err}
+			}
+			log, err := logging.New(level, env.out)
+			if err != nil {
+				return &ExitError{Code: ExitUsage, Err: err}
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			return platform.Run(ctx, s, log)
+		},
+	}
+	cmd.Flags().StringVar(&level, "log-level", "info", "least level that is logged: debug, info, warn or error")
+	return cmd
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,142 @@
+// Package edge assembles the gateway daemon of an entry host: it follows the
+// catalog, serves callers, takes part in control duties and stops gracefully.
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/connpool"
+	"github.com/bramleylever/bramleylever/internal/gateway"
+	"github.com/bramleylever/bramleylever/internal/hosts"
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/quota"
+)
+
+const (
+	// idleTime is how long an unused connection to an instance stays open.
+	idleTime = 6 * time.Second
+	// removalTime is how long the balancer takes to stop sending callers to a
+	// host that is not ready: two probes, a second apart.
+	removalTime = 2200 * time.Millisecond
+	// drainPoll is how often a stopping host looks whether sessions are left.
+	drainPoll = 50 * time.Millisecond
+	// graceReserve is the part of the grace time that is left for the exit.
+	graceReserve = 500 * time.Millisecond
+)
+
+// Options configures a daemon. The functions are the codecs of a platform.
+type Options struct {
+	Host   string
+	Domain string
+	// Grace is the time from the stop signal to the end of the process.
+	Grace time.Duration
+	// Slack is what the users accept beyond a client account's limit.
+	Slack  quota.Slack
+	Store  platform.Store
+	Layout catalog.Layout
+	Dialer connpool.Dialer
+	// ServeCallers accepts callers for the gateway until it is closed.
+	ServeCallers func(*gateway.Gateway) (io.Closer, error)
+	// ServeReadiness answers the balancer's probes.
+	ServeReadiness func(ready func() bool) (io.Closer, error)
+	Log            *zap.Logger
+	Registry       metrics.Registry
+}
+
+// Daemon is a running gateway.
+type Daemon struct {
+	options Options
+	log     *zap.Logger
+	ready   atomic.Bool
+}
+
+// New returns a daemon that does nothing until Run is called.
+func New(o Options) *Daemon { return &Daemon{options: o, log: o.Log} }
+
+// Run serves until ctx ends, then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	o := d.options
+	d.log.Info("start", zap.String("host", o.Host), zap.String(logging.FieldDomain, o.Domain))
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+
+	follower := catalog.NewFollower(o.Store, o.Layout, d.log)
+	registry := hosts.New(o.Host, o.Store, d.log)
+	limiter := quota.NewLimiter(quota.Options{
+		Host: o.Host, Store: o.Store, Hosts: registry.Count, Slack: o.Slack, Log: d.log, Registry: o.Registry,
+		Accounts: func() map[string]*catalog.Account { return accounts(follower.Snapshot()) },
+	})
+	pool := connpool.New(connpool.Config{Dialer: o.Dialer, IdleTime: idleTime, Registry: o.Registry})
+	g := gateway.New(gateway.Options{
+		Catalog: follower.Snapshot, Changed: follower.Changed, Pool: pool, Admission: limiter,
+		Domain: o.Domain, Hosts: registry.Count, Log: d.log, Registry: o.Registry,
+	})
+
+	readiness, err := o.ServeReadiness(d.ready.Load)
+	if err != nil {
+		return fmt.Errorf("serve readiness: %w", err)
+	}
+	defer readiness.Close()
+	callers, err := o.ServeCallers(g)
+	if err != nil {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	defer callers.Close()
+
+	go follower.Run(background)
+	go limiter.Run(background)
+	go pool.Run(background, func(server *catalog.Server) bool { return keep(follower.Snapshot(), server) })
+	registered := make(chan struct{})
+	go func() {
+		defer close(registered)
+		registry.Run(ctx)
+	}()
+	if follower.WaitReady(ctx) == nil {
+		d.ready.Store(true)
+		d.log.Info("ready", zap.Int64("config_version", follower.Snapshot().Config.Version))
+	}
+	<-ctx.Done()
+	d.drain(g)
+	<-registered
+	return nil
+}
+
+func accounts(snapshot *catalog.Snapshot) map[string]*catalog.Account {
+	if snapshot.Config == nil {
+		return nil
+	}
+	return snapshot.Config.Accounts
+}
+
+// keep reports whether connections to a server stay open.
+func keep(snapshot *catalog.Snapshot, server *catalog.Server) bool {
+	current := snapshot.Servers[server.ID]
+	return current != nil && current.Started == server.Started && snapshot.Usable(current)
+}
+
+// drain stops the host: it turns not ready, waits until no more callers are
+// sent to it, then closes idle sessions and waits for open transactions.
+func (d *Daemon) drain(g *gateway.Gateway) {
+	started := time.Now()
+	d.ready.Store(false)
+	d.log.Info("stop", zap.Int("sessions", g.Sessions()))
+	time.Sleep(min(removalTime, d.options.Grace/3))
+	deadline := started.Add(d.options.Grace - graceReserve)
+	for time.Now().Before(deadline) {
+		g.Drain()
+		if g.Sessions() == 0 {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	d.log.Info("stopped", zap.Int("sessions_left", g.Sessions()), zap.Duration("took", time.Since(started)))
+}
--- /dev/null
+++ b/internal/gateway/session.go
@@ -0,0 +1,297 @@
+package gateway
+
+import (
+	"fmt"
+	"maps"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/connpool"
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/statement"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// Session is one caller connection. Handle and Close are called by one
+// goroutine; the gateway ends idle transactions and idle sessions from others.
+type Session struct {
+	gateway  *Gateway
+	database string
+	key      string
+	// hangUp closes the caller's connection.
+	hangUp func()
+
+	mu       sync.Mutex
+	closed   bool
+	values   connpool.Values
+	prepared map[string]connpool.Prepared
+	// position is the end of the session's newest commit, known since
+	// positionAt.
+	position   position.Position
+	positionAt time.Time
+	tx         *transaction
+	// failed marks a transaction that ended and that the caller has to close.
+	failed bool
+}
+
+// Open starts a session on a database for the holder of a key. The result
+// tells whether it is accepted. hangUp must close the caller's connection and
+// may be called from any goroutine.
+func (g *Gateway) Open(database, key string, hangUp func()) (*Session, statement.Result) {
+	s := &Session{
+		gateway: g, database: database, key: key, hangUp: hangUp,
+		prepared: map[string]connpool.Prepared{},
+	}
+	if _, _, result := s.authorize(g.options.Catalog()); !result.Succeeded() {
+		g.stats.result(result.Code)
+		g.log.Info("session refused", zap.String(logging.FieldDecision, "refuse_session"),
+			zap.String("route_database", database), zap.String(logging.FieldReason, string(result.Code)))
+		return nil, result
+	}
+	g.mu.Lock()
+	g.sessions[s] = struct{}{}
+	g.mu.Unlock()
+	return s, statement.Result{State: statement.Idle}
+}
+
+// authorize looks up the route and the account of the session in the
+// configuration in force.
+func (s *Session) authorize(snapshot *catalog.Snapshot) (*catalog.Route, *catalog.Account, statement.Result) {
+	if snapshot.Config == nil {
+		return nil, nil, statement.Result{Code: statement.Busy, Detail: "no configuration yet", State: statement.Idle}
+	}
+	route := snapshot.Config.Routes[s.database]
+	if route == nil {
+		return nil, nil, statement.Result{
+			Code: statement.NoDB, State: statement.Idle,
+			Detail: fmt.Sprintf("database %q does not exist", s.database),
+		}
+	}
+	account := snapshot.Config.Keys[s.key]
+	if account != nil {
+		return route, account, statement.Result{}
+	}
+	if route.Open {
+		return route, &catalog.Account{Name: anonymous}, statement.Result{}
+	}
+	return nil, nil, statement.Result{Code: statement.NoAuth, Detail: "the key is not valid", State: statement.Idle}
+}
+
+// anonymous is the account of callers without a key on open routes.
+const anonymous = "-"
+
+// Close ends the session and rolls back an open transaction.
+func (s *Session) Close() {
+	s.mu.Lock()
+	s.closed = true
+	if s.tx != nil {
+		s.tx.rollback()
+		s.tx = nil
+	}
+	s.mu.Unlock()
+	g := s.gateway
+	g.mu.Lock()
+	delete(g.sessions, s)
+	g.mu.Unlock()
+}
+
+// closeIfIdle hangs up unless a transaction is open or a statement runs.
+func (s *Session) closeIfIdle() {
+	if !s.mu.TryLock() {
+		return
+	}
+	defer s.mu.Unlock()
+	if s.tx == nil && !s.failed && !s.closed {
+		s.closed = true
+		s.hangUp()
+	}
+}
+
+// Handle runs one statement whose first byte arrived at the given time. With
+// hangUp set in the return value the caller's connection is closed after the
+// answer was sent.
+func (s *Session) Handle(st statement.Statement, arrived time.Time) (result statement.Result, hangUp bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.gateway
+	if s.closed {
+		return statement.Result{Code: statement.Busy, Detail: "session is closed", State: statement.Idle}, true
+	}
+	result = s.dispatch(st, arrived)
+	result.State = s.state()
+	result.Position = position.Position{}
+	g.stats.result(result.Code)
+	g.stats.latency.Update(g.now().Sub(arrived).Microseconds())
+	hangUp = g.draining.Load() && s.tx == nil && !s.failed
+	s.closed = s.closed || hangUp
+	return result, hangUp
+}
+
+func (s *Session) state() statement.State {
+	switch {
+	case s.failed:
+		return statement.InFailed
+	case s.tx != nil:
+		return statement.InTransaction
+	}
+	return statement.Idle
+}
+
+func (s *Session) dispatch(st statement.Statement, arrived time.Time) statement.Result {
+	if s.failed {
+		return s.endFailed(st)
+	}
+	switch st.Kind {
+	case statement.Set:
+		return s.set(st)
+	case statement.Prepare:
+		s.prepared[st.Name] = connpool.Prepared{Writes: st.Writes, Shape: st.Value}
+		return statement.Result{}
+	case statement.Deallocate:
+		delete(s.prepared, st.Name)
+		return statement.Result{}
+	case statement.Begin:
+		return s.begin(st, arrived)
+	case statement.Commit, statement.Rollback:
+		return s.end(st, arrived)
+	case statement.Read, statement.Write, statement.Execute:
+		return s.run(st, arrived)
+	}
+	return s.malformed(st.Problem)
+}
+
+// malformed refuses a statement that has no meaning here. It fails an open
+// transaction.
+func (s *Session) malformed(detail string) statement.Result {
+	s.failTransaction()
+	return statement.Result{Code: statement.Malformed, Detail: detail}
+}
+
+// failTransaction rolls back an open transaction and leaves the session in the
+// failed state.
+func (s *Session) failTransaction() {
+	if s.tx == nil {
+		return
+	}
+	s.tx.rollback()
+	s.tx = nil
+	s.failed = true
+}
+
+func (s *Session) endFailed(st statement.Statement) statement.Result {
+	switch st.Kind {
+	case statement.Rollback:
+		s.failed = false
+		return statement.Result{}
+	case statement.Commit:
+		s.failed = false
+		return statement.Result{Code: statement.Aborted, Detail: "the transaction failed before and was rolled back"}
+	}
+	return statement.Result{Code: statement.Malformed, Detail: "the transaction failed; only its end is accepted"}
+}
+
+func (s *Session) set(st statement.Statement) statement.Result {
+	// Connections keep a reference to the map, so it is replaced.
+	values := maps.Clone(s.values)
+	if values == nil {
+		values = connpool.Values{}
+	}
+	values[st.Name] = st.Value
+	s.values = values
+	return statement.Result{}
+}
+
+// admit authorizes an operation and counts it against the account's limit.
+func (s *Session) admit(arrived time.Time) (*operation, statement.Result) {
+	g := s.gateway
+	snapshot := g.options.Catalog()
+	route, account, result := s.authorize(snapshot)
+	if !result.Succeeded() {
+		return nil, result
+	}
+	if !g.options.Admission.Admit(account, g.now()) {
+		return nil, statement.Result{Code: statement.Busy, Detail: "the account's rate is used up"}
+	}
+	op := &operation{session: s, route: route, account: account.Name, arrived: arrived}
+	return op, statement.Result{}
+}
+
+// resolve returns the prepared statement of an Execute.
+func (s *Session) resolve(st statement.Statement) (prepared *connpool.Prepared, writes bool, ok bool) {
+	if st.Kind != statement.Execute {
+		return nil, st.Kind == statement.Write, true
+	}
+	p, ok := s.prepared[st.Name]
+	return &p, p.Writes, ok
+}
+
+func (s *Session) run(st statement.Statement, arrived time.Time) statement.Result {
+	prepared, writes, ok := s.resolve(st)
+	if !ok {
+		s.failTransaction()
+		return statement.Result{Code: statement.NoStmt, Detail: fmt.Sprintf("prepared statement %q does not exist", st.Name)}
+	}
+	call := call{statement: st, prepared: prepared, writes: writes, arrived: arrived}
+	if s.tx != nil {
+		return s.runInTransaction(call)
+	}
+	op, refused := s.admit(arrived)
+	if op == nil {
+		s.logOutcome(st, nil, refused, nil)
+		return refused
+	}
+	if writes {
+		return op.write(call)
+	}
+	return op.read(call)
+}
+
+// slowPart is the part of the latency objective beyond which a statement that
+// was served gets a log line of its own.
+const slowPart = 2
+
+// logOutcome writes the line for a statement that was not served in the usual
+// way.
+func (s *Session) logOutcome(st statement.Statement, op *operation, result statement.Result, a *attempts) {
+	if result.Succeeded() {
+		if a != nil {
+			s.logSlow(st, op, op.arrived, a)
+		}
+		return
+	}
+	fields := append(s.fields(st, op), zap.String("code", string(result.Code)), zap.String(logging.FieldReason, result.Detail))
+	if a != nil {
+		fields = append(fields, a.fields()...)
+	}
+	s.gateway.log.Info("statement not served", fields...)
+}
+
+// logSlow writes a line for a step that took a large part of the objective.
+func (s *Session) logSlow(st statement.Statement, op *operation, since time.Time, a *attempts) {
+	took := s.gateway.now().Sub(since)
+	if took < op.route.Objective/slowPart || op.route.Objective <= 0 {
+		return
+	}
+	fields := append(s.fields(st, op), zap.Duration("took", took))
+	s.gateway.log.Info("statement slow", append(fields, a.fields()...)...)
+}
+
+// fields describes a statement, its operation and what the host believed.
+func (s *Session) fields(st statement.Statement, op *operation) []zap.Field {
+	fields := []zap.Field{
+		zap.String(logging.FieldDecision, "answer"), zap.String("request", st.ID),
+		zap.Stringer(logging.FieldStatement, st.Kind), zap.String("route_database", s.database),
+	}
+	if snapshot := s.gateway.options.Catalog(); snapshot.Config != nil {
+		fields = append(fields, zap.Int64("config_version", snapshot.Config.Version),
+			zap.Duration("catalog_age", s.gateway.now().Sub(snapshot.Confirmed)))
+	}
+	if op != nil {
+		fields = append(fields, zap.String(logging.FieldAccount, op.account), zap.String("service", op.route.Service),
+			zap.Stringer("consistency", op.route.Consistency), zap.Duration("elapsed", s.gateway.now().Sub(op.arrived)))
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/hosts/hosts.go
@@ -0,0 +1,207 @@
+// Package hosts registers this host in the platform's store and counts the
+// hosts that are registered there. Everything that the host holds in the store
+// hangs on the same lease.
+//
+// Invariant: Lease is reported as valid only while the store keeps it.
+package hosts
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/lease"
+)
+
+// Prefix is where hosts register.
+const Prefix = "bramleylever/hosts/"
+
+const (
+	leaseTTL       = 3 * time.Second
+	keepAlivePause = 1 * time.Second
+	retryPause     = 250 * time.Millisecond
+	refreshPause   = 4 * time.Second
+	callTimeout    = 800 * time.Millisecond
+	// countMemory is how long a host that disappeared is still counted. It may
+	// run on without the store, and its part of a limit must stay free.
+	countMemory = 15 * time.Second
+)
+
+// Registry registers one host and follows the others.
+type Registry struct {
+	name  string
+	store platform.Store
+	log   *zap.Logger
+	now   func() time.Time
+
+	mu    sync.Mutex
+	id    platform.LeaseID
+	clock *lease.Clock
+	// seen holds the time at which a host was last known to be registered;
+	// zero while it is.
+	seen map[string]time.Time
+}
+
+// New returns the registry of the host with a name.
+func New(name string, store platform.Store, log *zap.Logger) *Registry {
+	return &Registry{
+		name: name, store: store, log: log, now: time.Now,
+		clock: lease.New(lease.DefaultMargin), seen: map[string]time.Time{name: {}},
+	}
+}
+
+// Lease returns the host's lease and how long it remains valid.
+func (r *Registry) Lease() (platform.LeaseID, time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.id, r.clock.Remaining(r.now())
+}
+
+// refresh reads which hosts are registered.
+func (r *Registry) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	items, _, err := r.store.List(ctx, Prefix)
+	if err != nil {
+		return err
+	}
+	present := map[string]bool{}
+	for _, item := range items {
+		present[strings.TrimPrefix(item.Key, Prefix)] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range present {
+		r.seen[name] = time.Time{}
+	}
+	for name, gone := range r.seen {
+		if gone.IsZero() && !present[name] && name != r.name {
+			r.seen[name] = r.now()
+		}
+	}
+	return nil
+}
+
+// Count returns the number of hosts that may be running, at least 1.
+func (r *Registry) Count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	count := 0
+	for name, gone := range r.seen {
+		if !gone.IsZero() && now.Sub(gone) > countMemory {
+			delete(r.seen, name)
+			continue
+		}
+		count++
+	}
+	return max(1, count)
+}
+
+// Run registers the host and renews its lease until ctx ends; then the lease
+// is given back.
+func (r *Registry) Run(ctx context.Context) {
+	lost := time.Time{}
+	refreshed := time.Time{}
+	for ctx.Err() == nil {
+		pause := keepAlivePause
+		err := r.step(ctx)
+		if err == nil && r.now().Sub(refreshed) >= refreshPause {
+			err = r.refresh(ctx)
+			refreshed = r.now()
+		}
+		if err != nil {
+			pause = retryPause
+		}
+		lost = r.logChange(lost, err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	r.giveBack()
+}
+
+// logChange writes a line when the registration is lost or regained, and
+// returns since when it is lost.
+func (r *Registry) logChange(lost time.Time, err error) time.Time {
+	switch {
+	case err != nil && lost.IsZero():
+		r.log.Warn("host registration lost", zap.String(logging.FieldStep, "renew lease"), zap.Error(err))
+		return r.now()
+	case err == nil && !lost.IsZero():
+		r.log.Info("host registration regained", zap.Duration("lost_for", r.now().Sub(lost)))
+		return time.Time{}
+	}
+	return lost
+}
+
+func (r *Registry) step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	id, _ := r.Lease()
+	if id == 0 {
+		return r.register(ctx)
+	}
+	sent := r.now()
+	ttl, err := r.store.KeepAlive(ctx, id)
+	if errors.Is(err, platform.ErrLeaseNotFound) {
+		r.forget()
+		r.log.Info("host lease lost", zap.Int64("lease", int64(id)))
+		return r.register(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clock.Renew(sent, ttl)
+	return nil
+}
+
+// register takes a new lease and puts the host's key under it, over one that
+// an earlier incarnation may have left.
+func (r *Registry) register(ctx context.Context) error {
+	sent := r.now()
+	id, err := r.store.GrantLease(ctx, leaseTTL)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: Prefix + r.name, Value: []byte(r.name), Lease: id}}})
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.id = id
+	r.clock = lease.New(lease.DefaultMargin)
+	r.clock.Renew(sent, leaseTTL)
+	r.log.Info("host registered", zap.Int64("lease", int64(id)))
+	return nil
+}
+
+func (r *Registry) forget() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clock.End()
+	r.id = 0
+}
+
+func (r *Registry) giveBack() {
+	id, _ := r.Lease()
+	if id == 0 {
+		return
+	}
+	r.forget()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := r.store.RevokeLease(ctx, id); err != nil {
+		r.log.Warn("host lease not given back; it expires", zap.Error(err))
+	}
+}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -26,6 +26,16 @@
 	ErrTooLarge = errors.New("platform store: value too large")
 )
 
+// ConflictError is an ErrConflict that carries the present state of the
+// compared keys, from services that report it.
+type ConflictError struct{ Current []KeyValue }
+
+// Error describes the conflict.
+func (e *ConflictError) Error() string { return ErrConflict.Error() }
+
+// Unwrap returns ErrConflict.
+func (e *ConflictError) Unwrap() error { return ErrConflict }
+
 // MaxValueBytes is the largest value that the service holds.
 const MaxValueBytes = 1 << 20
 
