--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -18,6 +18,7 @@
 	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/promotion"
 	"github.com/bramleylever/bramleylever/internal/quota"
 )
 
@@ -44,6 +45,8 @@
 	Store  platform.Store
 	Layout catalog.Layout
 	Dialer connpool.Dialer
+	// Orderer orders promotions.
+	Orderer promotion.Orderer
 	// ServeCallers accepts callers for the gateway until it is closed.
 	ServeCallers func(*gateway.Gateway) (io.Closer, error)
 	// ServeReadiness answers the balancer's probes.
@@ -70,7 +73,7 @@
 	defer stop()
 
 	follower := catalog.NewFollower(o.Store, o.Layout, d.log)
-	registry := hosts.New(o.Host, o.Store, d.log)
+	registry := hosts.New(o.Host, o.Domain, o.Store, d.log)
 	limiter := quota.NewLimiter(quota.Options{
 		Host: o.Host, Store: o.Store, Hosts: registry.Count, Slack: o.Slack, Log: d.log, Registry: o.Registry,
 		Accounts: func() map[string]*catalog.Account { return accounts(follower.Snapshot()) },
@@ -81,20 +84,27 @@
 		Domain: o.Domain, Hosts: registry.Count, Log: d.log, Registry: o.Registry,
 	})
 
+	promoter := promotion.New(promotion.Options{
+		Host: o.Host, Domain: o.Domain, Store: o.Store, Catalog: follower.Snapshot,
+		Lease: registry.Lease, Hosts: registry.Live, Orderer: o.Orderer, Inspector: g.Inspector(),
+		Failing: g.Failing, Log: d.log, Registry: o.Registry,
+	})
+
 	readiness, err := o.ServeReadiness(d.ready.Load)
 	if err != nil {
 		return fmt.Errorf("serve readiness: %w", err)
 	}
-	defer readiness.Close()
+	defer func() { _ = readiness.Close() }()
 	callers, err := o.ServeCallers(g)
 	if err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
-	defer callers.Close()
+	defer func() { _ = callers.Close() }()
 
 	go follower.Run(background)
 	go limiter.Run(background)
 	go pool.Run(background, func(server *catalog.Server) bool { return keep(follower.Snapshot(), server) })
+	go promoter.Run(ctx)
 	registered := make(chan struct{})
 	go func() {
 		defer close(registered)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -69,7 +69,7 @@
 			return server
 		}
 	}
-	if registered == nil || g.health.get(registered).refusedLead.IsZero() {
+	if registered != nil && !g.health.get(registered).unfit(now) {
 		return nil
 	}
 	for _, server := range group {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,7 +48,6 @@
 	now     func() time.Time
 
 	draining atomic.Bool
-	served   atomic.Uint64
 
 	mu       sync.Mutex
 	sessions map[*Session]struct{}
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -145,3 +145,14 @@
 	}
 	return now.Sub(in.refusedLead) >= notLeaderPause
 }
+
+// unfitTime is how long a primary must have failed before others are asked to
+// lead.
+const unfitTime = time.Second
+
+// unfit reports whether an instance that is registered as primary refuses to
+// lead or has failed for a while.
+func (in *instanceHealth) unfit(now time.Time) bool {
+	failing := !in.failingSince.IsZero() && now.Sub(in.failingSince) >= unfitTime
+	return failing || !in.refusedLead.IsZero()
+}
--- /dev/null
+++ b/internal/gateway/inspect.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/promotion"
+	"github.com/bramleylever/bramleylever/internal/statement"
+)
+
+const (
+	// failingTime is how long a primary must have failed without an answer
+	// before this host suspects it.
+	failingTime = 300 * time.Millisecond
+	// statusPause is the pause before an instance without a free slot is asked
+	// again.
+	statusPause = 15 * time.Millisecond
+)
+
+// Failing reports whether this host's own statements do not reach a primary.
+func (g *Gateway) Failing(primary *catalog.Server) bool {
+	g.health.mu.Lock()
+	defer g.health.mu.Unlock()
+	in := g.health.get(primary)
+	return !in.failingSince.IsZero() && g.now().Sub(in.failingSince) >= failingTime
+}
+
+// Inspector asks instances for their state over pooled connections. It
+// implements promotion.Inspector.
+type Inspector struct{ gateway *Gateway }
+
+var _ promotion.Inspector = Inspector{}
+
+// Inspector returns the gateway's inspector.
+func (g *Gateway) Inspector() Inspector { return Inspector{g} }
+
+// Status implements promotion.Inspector.
+func (i Inspector) Status(ctx context.Context, server *catalog.Server) (promotion.Report, error) {
+	return i.ask(ctx, server, statement.Statement{Kind: statement.Status})
+}
+
+// Pause implements promotion.Inspector.
+func (i Inspector) Pause(ctx context.Context, server *catalog.Server) (promotion.Report, error) {
+	before, err := i.Status(ctx, server)
+	if err != nil {
+		return before, err
+	}
+	return i.ask(ctx, server, statement.Statement{Kind: statement.Pause, Term: before.Received.Term.Epoch + 1})
+}
+
+// Resume implements promotion.Inspector.
+func (i Inspector) Resume(ctx context.Context, server *catalog.Server) error {
+	_, err := i.ask(ctx, server, statement.Statement{Kind: statement.Resume})
+	return err
+}
+
+func (i Inspector) ask(ctx context.Context, server *catalog.Server, st statement.Statement) (promotion.Report, error) {
+	g := i.gateway
+	limit := g.connLimit(g.options.Catalog(), server.Service)
+	conn, err := g.options.Pool.AcquireAny(ctx, server, anonymous, limit)
+	if err != nil {
+		return promotion.Report{}, err
+	}
+	defer func() { g.options.Pool.Release(conn) }()
+	deadline, _ := ctx.Deadline()
+	for {
+		results, err := conn.Exchange(deadline, st)
+		if err != nil {
+			return promotion.Report{}, err
+		}
+		if results[0].Code != statement.Busy {
+			return report(server, results[0])
+		}
+		select {
+		case <-ctx.Done():
+			return promotion.Report{}, ctx.Err()
+		case <-time.After(statusPause):
+		}
+	}
+}
+
+func report(server *catalog.Server, result statement.Result) (promotion.Report, error) {
+	if !result.Succeeded() || result.Instance == nil {
+		return promotion.Report{}, fmt.Errorf("status of %s: answer %s %s", server.ID, result.Code, result.Detail)
+	}
+	return promotion.Report{Server: server, Received: result.Instance.Received}, nil
+}
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -19,7 +19,7 @@
 	"github.com/bramleylever/bramleylever/lease"
 )
 
-// Prefix is where hosts register.
+// Prefix is where hosts register; the value is the failure domain.
 const Prefix = "bramleylever/hosts/"
 
 const (
@@ -35,24 +35,31 @@
 
 // Registry registers one host and follows the others.
 type Registry struct {
-	name  string
-	store platform.Store
-	log   *zap.Logger
-	now   func() time.Time
+	name   string
+	domain string
+	store  platform.Store
+	log    *zap.Logger
+	now    func() time.Time
 
 	mu    sync.Mutex
 	id    platform.LeaseID
 	clock *lease.Clock
-	// seen holds the time at which a host was last known to be registered;
-	// zero while it is.
-	seen map[string]time.Time
+	seen  map[string]sighting
 }
 
-// New returns the registry of the host with a name.
-func New(name string, store platform.Store, log *zap.Logger) *Registry {
+// sighting is what is known of a host.
+type sighting struct {
+	domain string
+	// gone is when the host was found to be no longer registered; zero while
+	// it is.
+	gone time.Time
+}
+
+// New returns the registry of the host with a name in a failure domain.
+func New(name, domain string, store platform.Store, log *zap.Logger) *Registry {
 	return &Registry{
-		name: name, store: store, log: log, now: time.Now,
-		clock: lease.New(lease.DefaultMargin), seen: map[string]time.Time{name: {}},
+		name: name, domain: domain, store: store, log: log, now: time.Now,
+		clock: lease.New(lease.DefaultMargin), seen: map[string]sighting{name: {domain: domain}},
 	}
 }
 
@@ -71,31 +78,46 @@
 	if err != nil {
 		return err
 	}
-	present := map[string]bool{}
+	present := map[string]string{}
 	for _, item := range items {
-		present[strings.TrimPrefix(item.Key, Prefix)] = true
+		present[strings.TrimPrefix(item.Key, Prefix)] = string(item.Value)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for name := range present {
-		r.seen[name] = time.Time{}
+	for name, domain := range present {
+		r.seen[name] = sighting{domain: domain}
 	}
-	for name, gone := range r.seen {
-		if gone.IsZero() && !present[name] && name != r.name {
-			r.seen[name] = r.now()
+	for name, s := range r.seen {
+		if _, ok := present[name]; !ok && s.gone.IsZero() && name != r.name {
+			r.seen[name] = sighting{s.domain, r.now()}
 		}
 	}
 	return nil
 }
 
+// Live returns the number of registered hosts, and of the failure domains that
+// they are in.
+func (r *Registry) Live() (hosts, domains int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	in := map[string]bool{}
+	for _, s := range r.seen {
+		if s.gone.IsZero() {
+			hosts++
+			in[s.domain] = true
+		}
+	}
+	return hosts, len(in)
+}
+
 // Count returns the number of hosts that may be running, at least 1.
 func (r *Registry) Count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	count := 0
-	for name, gone := range r.seen {
-		if !gone.IsZero() && now.Sub(gone) > countMemory {
+	for name, s := range r.seen {
+		if !s.gone.IsZero() && now.Sub(s.gone) > countMemory {
 			delete(r.seen, name)
 			continue
 		}
@@ -173,7 +195,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = r.store.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: Prefix + r.name, Value: []byte(r.name), Lease: id}}})
+	_, err = r.store.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: Prefix + r.name, Value: []byte(r.domain), Lease: id}}})
 	if err != nil {
 		return err
 	}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -5,12 +5,16 @@
 // statement, and everything before it in the same transaction, has no effect.
 package statement
 
-import "github.com/bramleylever/bramleylever/position"
+import (
+	"time"
+
+	"github.com/bramleylever/bramleylever/position"
+)
 
 // Kind is the operation that a statement asks for.
 type Kind uint8
 
-// The kinds of statements. Status, Pause, Demote and Reset are sent by the
+// The kinds of statements. Status, Pause, Resume and Reset are sent by the
 // gateway itself and never accepted from callers.
 const (
 	Invalid Kind = iota
@@ -26,11 +30,11 @@
 	Reset
 	Status
 	Pause
-	Demote
+	Resume
 )
 
 var kindNames = [...]string{"invalid", "begin", "commit", "rollback", "read", "write", "set", "prepare",
-	"execute", "deallocate", "reset", "status", "pause", "demote"}
+	"execute", "deallocate", "reset", "status", "pause", "resume"}
 
 // String returns the name used in logs.
 func (k Kind) String() string { return kindNames[k] }
@@ -54,7 +58,7 @@
 	Text string
 	// After is the log position that the instance must hold; zero means any.
 	After position.Position
-	// Term is the term of a Pause or a Demote.
+	// Term is the term of a Pause.
 	Term uint64
 	// Problem says why an Invalid statement could not be read.
 	Problem string
@@ -110,6 +114,17 @@
 	State     State
 	// Position is the end of the answering instance's log; zero if not known.
 	Position position.Position
+	// Instance answers a Status, a Pause or a Resume.
+	Instance *Instance
+}
+
+// Instance is the state of an instance as it reports it.
+type Instance struct {
+	Primary bool
+	// Received is the end of the log that the instance received; it may not
+	// have applied all of it.
+	Received position.Position
+	Lag      time.Duration
 }
 
 // Succeeded reports whether the statement ran without an error.
