--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -34,14 +34,20 @@
 	graceReserve = 500 * time.Millisecond
 )
 
+// Reloadable is what may change while the daemon runs.
+type Reloadable struct {
+	// Grace is the time from the stop signal to the end of the process.
+	Grace time.Duration
+	// Slack is what the users accept beyond a client account's limit.
+	Slack quota.Slack
+}
+
 // Options configures a daemon. The functions are the codecs of a platform.
 type Options struct {
 	Host   string
 	Domain string
 	// Grace is the time from the stop signal to the end of the process.
-	Grace time.Duration
-	// Slack is what the users accept beyond a client account's limit.
-	Slack  quota.Slack
+	Reloadable
 	Store  platform.Store
 	Layout catalog.Layout
 	Dialer connpool.Dialer
@@ -60,10 +66,18 @@
 	options Options
 	log     *zap.Logger
 	ready   atomic.Bool
+	current atomic.Pointer[Reloadable]
 }
 
 // New returns a daemon that does nothing until Run is called.
-func New(o Options) *Daemon { return &Daemon{options: o, log: o.Log} }
+func New(o Options) *Daemon {
+	d := &Daemon{options: o, log: o.Log}
+	d.Reload(o.Reloadable)
+	return d
+}
+
+// Reload takes changed settings over.
+func (d *Daemon) Reload(r Reloadable) { d.current.Store(&r) }
 
 // Run serves until ctx ends, then stops gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -75,7 +89,8 @@
 	follower := catalog.NewFollower(o.Store, o.Layout, d.log)
 	registry := hosts.New(o.Host, o.Domain, o.Store, d.log)
 	limiter := quota.NewLimiter(quota.Options{
-		Host: o.Host, Store: o.Store, Hosts: registry.Count, Slack: o.Slack, Log: d.log, Registry: o.Registry,
+		Host: o.Host, Store: o.Store, Hosts: registry.Count, Log: d.log,
+		Slack: func() quota.Slack { return d.current.Load().Slack }, Registry: o.Registry,
 		Accounts: func() map[string]*catalog.Account { return accounts(follower.Snapshot()) },
 	})
 	pool := connpool.New(connpool.Config{Dialer: o.Dialer, IdleTime: idleTime, Registry: o.Registry})
@@ -137,10 +152,11 @@
 // sent to it, then closes idle sessions and waits for open transactions.
 func (d *Daemon) drain(g *gateway.Gateway) {
 	started := time.Now()
+	grace := d.current.Load().Grace
 	d.ready.Store(false)
 	d.log.Info("stop", zap.Int("sessions", g.Sessions()))
-	time.Sleep(min(removalTime, d.options.Grace/3))
-	deadline := started.Add(d.options.Grace - graceReserve)
+	time.Sleep(min(removalTime, grace/3))
+	deadline := started.Add(grace - graceReserve)
 	for time.Now().Before(deadline) {
 		g.Drain()
 		if g.Sessions() == 0 {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -56,7 +56,7 @@
 	Hosts func() int
 	// Accounts returns the accounts of the configuration in force.
 	Accounts func() map[string]*catalog.Account
-	Slack    Slack
+	Slack    func() Slack
 	Log      *zap.Logger
 	Registry metrics.Registry
 }
@@ -104,7 +104,7 @@
 
 // limit returns the fleet's limit of an account.
 func (l *Limiter) limit(c *catalog.Account) limit {
-	s := l.options.Slack
+	s := l.options.Slack()
 	beyond := s.Overshoot*(c.Rate*s.Window.Seconds()+c.Burst) + s.Operations
 	return limit{rate: c.Rate, burst: c.Burst, slack: slackPart * beyond}
 }
