--- /dev/null
+++ b/internal/platform/platformtest/memory.go
@@ -0,0 +1,299 @@
+package platformtest
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bramleylever/bramleylever/internal/platform"
+)
+
+// progressInterval is how often a watch of a Memory reports progress.
+const progressInterval = 20 * time.Millisecond
+
+// Memory is a store within one process, for tests of its users. It passes the
+// contract suite, and faults can be set on it.
+type Memory struct {
+	mu        sync.Mutex
+	now       func() time.Time
+	revision  int64
+	compacted int64
+	items     map[string]platform.KeyValue
+	history   []platform.WatchUpdate
+	leases    map[platform.LeaseID]*memoryLease
+	nextLease platform.LeaseID
+	changed   chan struct{}
+	fault     Fault
+	calls     int
+}
+
+// Fault makes calls to a Memory fail.
+type Fault struct {
+	// Err is returned instead of running a call; nil runs it.
+	Err error
+	// LoseAnswers runs a write and returns ErrOutcomeUnknown.
+	LoseAnswers bool
+}
+
+type memoryLease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+var _ platform.Store = (*Memory)(nil)
+
+// NewMemory returns an empty store whose leases run on a clock; nil means
+// time.Now.
+func NewMemory(now func() time.Time) *Memory {
+	if now == nil {
+		now = time.Now
+	}
+	return &Memory{
+		now: now, revision: 1, items: map[string]platform.KeyValue{},
+		leases: map[platform.LeaseID]*memoryLease{}, changed: make(chan struct{}),
+	}
+}
+
+// SetFault sets what the following calls meet.
+func (m *Memory) SetFault(f Fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault = f
+}
+
+// Calls returns the number of calls so far, without watches.
+func (m *Memory) Calls() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
+// Compact forgets the history up to and including a revision.
+func (m *Memory) Compact(revision int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.compacted = max(m.compacted, revision)
+	m.history = slices.DeleteFunc(m.history, func(u platform.WatchUpdate) bool { return u.Revision <= revision })
+}
+
+// begin counts a call and ends leases that expired. The caller holds the lock.
+func (m *Memory) begin() error {
+	m.calls++
+	for id, l := range m.leases {
+		if !m.now().Before(l.expires) {
+			m.drop(id)
+		}
+	}
+	return m.fault.Err
+}
+
+func (m *Memory) drop(id platform.LeaseID) {
+	delete(m.leases, id)
+	var events []platform.Event
+	for key, kv := range m.items {
+		if kv.Lease == id {
+			events = append(events, m.remove(key))
+		}
+	}
+	m.commit(events)
+}
+
+func (m *Memory) remove(key string) platform.Event {
+	delete(m.items, key)
+	return platform.Event{KeyValue: platform.KeyValue{Key: key, ModRevision: m.revision + 1}, Deleted: true}
+}
+
+// commit makes events one revision.
+func (m *Memory) commit(events []platform.Event) {
+	if len(events) == 0 {
+		return
+	}
+	m.revision++
+	m.history = append(m.history, platform.WatchUpdate{Revision: m.revision, Events: events})
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Get implements platform.Store.
+func (m *Memory) Get(_ context.Context, key string) (platform.KeyValue, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin(); err != nil {
+		return platform.KeyValue{}, 0, err
+	}
+	kv, ok := m.items[key]
+	if !ok {
+		kv.Key = key
+	}
+	return kv, m.revision, nil
+}
+
+// List implements platform.Store.
+func (m *Memory) List(_ context.Context, prefix string) ([]platform.KeyValue, int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin(); err != nil {
+		return nil, 0, err
+	}
+	var out []platform.KeyValue
+	for key, kv := range m.items {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, kv)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.KeyValue) int { return strings.Compare(a.Key, b.Key) })
+	return out, m.revision, nil
+}
+
+// Txn implements platform.Store.
+func (m *Memory) Txn(_ context.Context, txn platform.Txn) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin(); err != nil {
+		return 0, err
+	}
+	if err := m.check(txn); err != nil {
+		return 0, err
+	}
+	var events []platform.Event
+	for _, p := range txn.Puts {
+		kv := platform.KeyValue{Key: p.Key, Value: slices.Clone(p.Value), ModRevision: m.revision + 1, Lease: p.Lease}
+		m.items[p.Key] = kv
+		events = append(events, platform.Event{KeyValue: kv})
+	}
+	for _, key := range txn.Deletes {
+		if _, ok := m.items[key]; ok {
+			events = append(events, m.remove(key))
+		}
+	}
+	m.commit(events)
+	if m.fault.LoseAnswers {
+		return 0, platform.ErrOutcomeUnknown
+	}
+	return m.revision, nil
+}
+
+func (m *Memory) check(txn platform.Txn) error {
+	conflict := false
+	current := make([]platform.KeyValue, 0, len(txn.Compares))
+	for _, c := range txn.Compares {
+		kv := m.items[c.Key]
+		kv.Key = c.Key
+		current = append(current, kv)
+		conflict = conflict || kv.ModRevision != c.ModRevision
+	}
+	if conflict {
+		return &platform.ConflictError{Current: current}
+	}
+	for _, p := range txn.Puts {
+		if len(p.Value) > platform.MaxValueBytes {
+			return platform.ErrTooLarge
+		}
+		if _, ok := m.leases[p.Lease]; p.Lease != 0 && !ok {
+			return platform.ErrLeaseNotFound
+		}
+	}
+	return nil
+}
+
+// GrantLease implements platform.Store.
+func (m *Memory) GrantLease(_ context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin(); err != nil {
+		return 0, err
+	}
+	m.nextLease++
+	m.leases[m.nextLease] = &memoryLease{ttl: ttl, expires: m.now().Add(ttl)}
+	return m.nextLease, nil
+}
+
+// KeepAlive implements platform.Store.
+func (m *Memory) KeepAlive(_ context.Context, id platform.LeaseID) (time.Duration, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin(); err != nil {
+		return 0, err
+	}
+	l := m.leases[id]
+	if l == nil {
+		return 0, platform.ErrLeaseNotFound
+	}
+	l.expires = m.now().Add(l.ttl)
+	return l.ttl, nil
+}
+
+// RevokeLease implements platform.Store.
+func (m *Memory) RevokeLease(_ context.Context, id platform.LeaseID) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin(); err != nil {
+		return err
+	}
+	if m.leases[id] == nil {
+		return platform.ErrLeaseNotFound
+	}
+	m.drop(id)
+	return nil
+}
+
+// Watch implements platform.Store.
+func (m *Memory) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchUpdate, error) {
+	updates := make(chan platform.WatchUpdate)
+	go func() {
+		defer close(updates)
+		next := from
+		for {
+			pending, changed, last := m.since(prefix, next)
+			for _, u := range pending {
+				select {
+				case updates <- u:
+				case <-ctx.Done():
+					return
+				}
+				if u.Err != nil {
+					return
+				}
+			}
+			next = last + 1
+			select {
+			case <-changed:
+			case <-time.After(progressInterval):
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return updates, nil
+}
+
+// since returns the changes from a revision on, ended by progress.
+func (m *Memory) since(prefix string, from int64) ([]platform.WatchUpdate, <-chan struct{}, int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.fault.Err != nil {
+		return []platform.WatchUpdate{{Err: m.fault.Err}}, m.changed, m.revision
+	}
+	if from != 0 && from <= m.compacted {
+		return []platform.WatchUpdate{{Err: platform.ErrCompacted}}, m.changed, m.revision
+	}
+	var out []platform.WatchUpdate
+	for _, u := range m.history {
+		var events []platform.Event
+		for _, e := range u.Events {
+			if strings.HasPrefix(e.Key, prefix) {
+				events = append(events, e)
+			}
+		}
+		if u.Revision >= from && len(events) > 0 {
+			out = append(out, platform.WatchUpdate{Revision: u.Revision, Events: events})
+		}
+	}
+	out = append(out, platform.WatchUpdate{Revision: m.revision, Asked: time.Now()})
+	return out, m.changed, m.revision
+}
+
+// Close implements platform.Store.
+func (m *Memory) Close() error { return nil }
--- /dev/null
+++ b/internal/platform/platformtest/memory_test.go
@@ -0,0 +1,27 @@
+package platformtest_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/platform/platformtest"
+)
+
+func TestMemory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "store in memory")
+}
+
+var harness = &platformtest.Harness{}
+
+var _ = BeforeEach(func() {
+	memory := platformtest.NewMemory(nil)
+	harness.Open = func() platform.Store { return memory }
+	harness.Compact = memory.Compact
+})
+
+// Guards against tests that rely on a store that behaves unlike the real ones.
+var _ = platformtest.DescribeStore("memory", harness)
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -38,8 +38,8 @@
 	// initialPart is the part of a limit that the hosts divide equally before
 	// they know the demand.
 	initialPart = 0.7
-	// growAbove is how much the need may exceed a holding before it is raised.
-	growAbove = 1.05
+	// urgentRoom is the room below which a holding is raised at once.
+	urgentRoom = 0.1
 )
 
 // limit is the rate and burst of an account over the whole fleet. Slack is the
@@ -169,5 +169,5 @@
 	if a.exhausted {
 		return false
 	}
-	return a.short || a.wanted(tightRoom, now) > growAbove*a.fraction
+	return a.short || a.wanted(urgentRoom, now) > a.fraction
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -27,7 +27,7 @@
 	// urgentPause is the least time between two writes of a host whose
 	// holdings are too small, and renewPause the time between two others.
 	urgentPause = 250 * time.Millisecond
-	renewPause  = 2 * time.Second
+	renewPause  = 3 * time.Second
 	// settleTime is how long a host that starts waits for the registrations of
 	// the others before it takes its initial part.
 	settleTime  = 4 * time.Second
@@ -78,6 +78,7 @@
 	sightings sightings
 	sequence  uint64
 	written   time.Time
+	renewed   time.Time
 	failed    bool
 }
 
@@ -161,8 +162,8 @@
 			return
 		case <-ticker.C:
 		}
-		if l.due() {
-			l.write(ctx)
+		if shards := l.due(); shards != 0 {
+			l.write(ctx, shards)
 		}
 	}
 }
@@ -207,34 +208,43 @@
 	l.ledgers[shard], l.revisions[shard] = decoded, kv.ModRevision
 }
 
-// due reports whether the holdings are to be written.
-func (l *Limiter) due() bool {
+// shardSet is a set of shards, one bit each.
+type shardSet uint64
+
+const allShards shardSet = 1<<shardCount - 1
+
+func (s shardSet) has(shard int) bool { return s&(1<<shard) != 0 }
+
+// due returns the shards to write: all of them to renew the holdings, or those
+// with a holding that is too small.
+func (l *Limiter) due() shardSet {
 	now := l.now()
-	since := now.Sub(l.written)
-	if since >= renewPause {
-		return true
+	if now.Sub(l.renewed) >= renewPause {
+		l.renewed = now
+		return allShards
 	}
-	if since < urgentPause {
-		return false
+	if now.Sub(l.written) < urgentPause {
+		return 0
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, a := range l.accounts {
+	var shards shardSet
+	for name, a := range l.accounts {
 		if a.urgent(now) {
-			return true
+			shards |= 1 << shardOf(name)
 		}
 	}
-	return false
+	return shards
 }
 
-// write records the holdings that suit the demand.
-func (l *Limiter) write(ctx context.Context) {
+// write records the holdings of some shards that suit the demand.
+func (l *Limiter) write(ctx context.Context, shards shardSet) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	l.written = l.now()
 	var err error
 	for range writeTries {
-		if err = l.tryWrite(ctx); !errors.Is(err, platform.ErrConflict) {
+		if err = l.tryWrite(ctx, shards); !errors.Is(err, platform.ErrConflict) {
 			break
 		}
 	}
@@ -251,14 +261,14 @@
 	fraction float64
 }
 
-// tryWrite writes all shards in which this host holds or needs something, if
+// tryWrite writes the shards in which this host holds or needs something, if
 // they are as last observed. A holding is lowered before the call and raised
 // after it succeeded.
-func (l *Limiter) tryWrite(ctx context.Context) error {
+func (l *Limiter) tryWrite(ctx context.Context, shards shardSet) error {
 	sent := l.now()
 	l.sequence++
 	var next [shardCount]ledger
-	changes := l.plan(&next, sent)
+	changes := l.plan(&next, shards, sent)
 	if len(changes) == 0 {
 		return nil
 	}
@@ -291,7 +301,7 @@
 }
 
 // plan computes the new documents of the shards to write.
-func (l *Limiter) plan(next *[shardCount]ledger, now time.Time) []change {
+func (l *Limiter) plan(next *[shardCount]ledger, shards shardSet, now time.Time) []change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.addAccounts(now)
@@ -299,6 +309,9 @@
 	for name, a := range l.accounts {
 		shard := shardOf(name)
 		_, recorded := l.ledgers[shard][name][l.options.Host]
+		if !shards.has(shard) {
+			continue
+		}
 		if !recorded && a.wanted(tightRoom, now) == 0 && a.wish == 0 {
 			continue
 		}
