--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -64,6 +64,8 @@
 	prepared map[string]bool
 	idleFrom time.Time
 	broken   bool
+	// state is the state after the last answer.
+	state statement.State
 }
 
 // Break marks the connection as not usable any more.
@@ -75,6 +77,9 @@
 	if err != nil {
 		c.broken = true
 	}
+	if len(results) > 0 {
+		c.state = results[len(results)-1].State
+	}
 	return results, err
 }
 
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -110,23 +110,6 @@
 	return in.inUse + len(in.waiters)
 }
 
-// HasIdle reports whether an idle connection for the account is open, and
-// whether a further one may be opened without waiting.
-func (p *Pool) HasIdle(server *catalog.Server, account string, limit Limit) (idle, room bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	in := p.instances[key(server)]
-	if in == nil {
-		return false, true
-	}
-	for _, c := range in.idle {
-		if c.Account == account {
-			return true, true
-		}
-	}
-	return false, len(in.idle) > 0 || (in.open < limit.Open && !p.now().Before(in.fullUntil))
-}
-
 // Acquire returns a connection for an account whose values need the fewest
 // changes. At most limit connections to the instance are open.
 func (p *Pool) Acquire(ctx context.Context, server *catalog.Server, account string, values Values, limit Limit) (*Conn, error) {
@@ -279,7 +262,7 @@
 		}
 		return nil, err
 	}
-	return &Conn{Link: link, Server: server, Account: account, instance: in}, nil
+	return &Conn{Link: link, Server: server, Account: account, instance: in, state: statement.Idle}, nil
 }
 
 // passOn lets the first waiter open a connection in the place of one that is
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,14 +17,16 @@
 	"github.com/bramleylever/bramleylever/internal/gateway"
 	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/peer"
 	"github.com/bramleylever/bramleylever/internal/platform"
 	"github.com/bramleylever/bramleylever/internal/promotion"
 	"github.com/bramleylever/bramleylever/internal/quota"
+	"github.com/bramleylever/bramleylever/internal/relay"
 )
 
 const (
 	// idleTime is how long an unused connection to an instance stays open.
-	idleTime = 6 * time.Second
+	idleTime = 20 * time.Second
 	// removalTime is how long the balancer takes to stop sending callers to a
 	// host that is not ready: two probes, a second apart.
 	removalTime = 2200 * time.Millisecond
@@ -47,6 +49,8 @@
 	Host   string
 	Domain string
 	// Grace is the time from the stop signal to the end of the process.
+	// PeerAddress is where other hosts reach this one.
+	PeerAddress string
 	Reloadable
 	Store  platform.Store
 	Layout catalog.Layout
@@ -87,16 +91,33 @@
 	defer stop()
 
 	follower := catalog.NewFollower(o.Store, o.Layout, d.log)
-	registry := hosts.New(o.Host, o.Domain, o.Store, d.log)
+	registry := hosts.New(hosts.Host{Name: o.Host, Domain: o.Domain, Address: o.PeerAddress}, o.Store, d.log)
 	limiter := quota.NewLimiter(quota.Options{
 		Host: o.Host, Store: o.Store, Hosts: registry.Count, Log: d.log,
 		Slack: func() quota.Slack { return d.current.Load().Slack }, Registry: o.Registry,
 		Accounts: func() map[string]*catalog.Account { return accounts(follower.Snapshot()) },
 	})
 	pool := connpool.New(connpool.Config{Dialer: o.Dialer, IdleTime: idleTime, Registry: o.Registry})
+	peers := peer.NewPool()
+	defer func() { _ = peers.Close() }()
+	router := relay.NewRouter(relay.Options{
+		Self: o.Host, Pool: pool, Peers: peers, Hosts: registry.Hosts, Catalog: follower.Snapshot,
+		Log: d.log, Registry: o.Registry,
+	})
+	server, err := peer.Listen(o.PeerAddress, o.Registry)
+	if err != nil {
+		return err
+	}
+	router.Register(server)
+	go func() {
+		if err := server.Serve(); err != nil {
+			d.log.Error("peer server ended", zap.Error(err))
+		}
+	}()
+	defer server.Stop()
 	g := gateway.New(gateway.Options{
-		Catalog: follower.Snapshot, Changed: follower.Changed, Pool: pool, Admission: limiter,
-		Domain: o.Domain, Hosts: registry.Count, Log: d.log, Registry: o.Registry,
+		Catalog: follower.Snapshot, Changed: follower.Changed, Conns: router, Admission: limiter,
+		Domain: o.Domain, Log: d.log, Registry: o.Registry,
 	})
 
 	promoter := promotion.New(promotion.Options{
@@ -130,6 +151,7 @@
 		d.log.Info("ready", zap.Int64("config_version", follower.Snapshot().Config.Version))
 	}
 	<-ctx.Done()
+	router.Leave()
 	d.drain(g)
 	<-registered
 	return nil
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -12,11 +12,9 @@
 	stalenessMargin = 20 * time.Millisecond
 	// crossDomainCost is what a path to another failure domain counts for in
 	// the choice of an instance; bytes between domains are scarce.
-	crossDomainCost = 25 * time.Millisecond
+	crossDomainCost = 5 * time.Millisecond
 	// primaryCost keeps reads that replicas can serve away from the primary.
 	primaryCost = 5 * time.Millisecond
-	// dialCost counts for an instance to which a connection must be opened.
-	dialCost = 15 * time.Millisecond
 )
 
 // target is where an attempt of an operation goes.
@@ -108,7 +106,6 @@
 		}
 		return target{server: g.chooseLeader(snapshot, op.route.Service, tried, now), lead: true, reason: reason}
 	}
-	limit := g.connLimit(snapshot, op.route.Service)
 	primary := snapshot.Primary(op.route.Service)
 	var best *catalog.Server
 	var bestCost time.Duration
@@ -120,13 +117,6 @@
 		if !usable {
 			continue
 		}
-		idle, room := g.options.Pool.HasIdle(server, op.account, limit)
-		if !idle {
-			cost += dialCost
-		}
-		if !room {
-			cost += 2 * dialCost
-		}
 		if best == nil || cost < bestCost {
 			best, bestCost = server, cost
 		}
@@ -141,7 +131,7 @@
 // readCost estimates how long a read takes at an instance. It reports false if
 // the instance is left alone now or is likely to lack the position.
 func (g *Gateway) readCost(server *catalog.Server, primary bool, after position.Position, age time.Duration, now time.Time) (time.Duration, bool) {
-	use := g.options.Pool.Use(server)
+	use := g.options.Conns.Use(server)
 	g.health.mu.Lock()
 	defer g.health.mu.Unlock()
 	in := g.health.get(server)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,12 +28,10 @@
 type Options struct {
 	Catalog   func() *catalog.Snapshot
 	Changed   func() <-chan struct{}
-	Pool      *connpool.Pool
+	Conns     connpool.Source
 	Admission Admission
 	// Domain is the host's failure domain.
-	Domain string
-	// Hosts returns the number of hosts that share the instances' connections.
-	Hosts    func() int
+	Domain   string
 	Log      *zap.Logger
 	Registry metrics.Registry
 }
@@ -61,29 +59,6 @@
 	}
 }
 
-// connLimit is the number of connections that this host opens to an instance
-// of the service, and keep how many of them stay open unused. Instances refuse
-// what exceeds their own limit, so a host may go a little beyond an equal part
-// while others need less.
-func (g *Gateway) connLimit(snapshot *catalog.Snapshot, service string) connpool.Limit {
-	s := snapshot.Config.Services[service]
-	if s == nil || s.MaxConns == 0 {
-		return connpool.Limit{Open: defaultConnLimit, Idle: defaultConnLimit}
-	}
-	equal := s.MaxConns / max(1, g.options.Hosts())
-	return connpool.Limit{Open: max(minConnLimit, equal+connBurst), Idle: max(1, equal)}
-}
-
-const (
-	// defaultConnLimit applies to services without a limit of their own.
-	defaultConnLimit = 16
-	// minConnLimit lets every host run a statement beside an open transaction.
-	minConnLimit = 2
-	// connBurst is how many connections beyond its equal part of an instance's
-	// limit a host may open.
-	connBurst = 1
-)
-
 // Sessions returns the number of open sessions.
 func (g *Gateway) Sessions() int {
 	g.mu.Lock()
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/promotion"
 	"github.com/bramleylever/bramleylever/internal/statement"
 )
@@ -58,20 +59,22 @@
 
 func (i Inspector) ask(ctx context.Context, server *catalog.Server, st statement.Statement) (promotion.Report, error) {
 	g := i.gateway
-	limit := g.connLimit(g.options.Catalog(), server.Service)
-	conn, err := g.options.Pool.AcquireAny(ctx, server, anonymous, limit)
+	conn, err := g.options.Conns.Acquire(ctx, server, anonymous, nil)
 	if err != nil {
 		return promotion.Report{}, err
 	}
-	defer func() { g.options.Pool.Release(conn) }()
+	defer conn.Release()
 	deadline, _ := ctx.Deadline()
 	for {
-		results, err := conn.Exchange(deadline, st)
+		answer, err := conn.Do(deadline, connpool.Work{Statements: []statement.Statement{st}})
 		if err != nil {
 			return promotion.Report{}, err
 		}
-		if results[0].Code != statement.Busy {
-			return report(server, results[0])
+		if answer.Refused != nil {
+			return report(server, *answer.Refused)
+		}
+		if answer.Results[0].Code != statement.Busy {
+			return report(server, answer.Results[0])
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -144,28 +144,23 @@
 }
 
 // tryRead runs a read at one instance. It reports false if the read may go to
-// another one.
+// another one. With a proof of leadership the read runs inside the gateway's own
+// transaction, which ends in the same packet.
 func (op *operation) tryRead(c call, t target, deadline time.Time, a *attempts) (statement.Result, bool) {
-	g := op.gateway()
-	conn, err := op.acquire(t.server, deadline, a)
-	if err != nil {
-		op.noteAcquire(t.server, err, a)
-		return statement.Result{}, false
-	}
-	defer func() { g.options.Pool.Release(conn) }()
-	started := g.now()
-	defer func() { a.running += g.now().Sub(started) }()
-	st, err := op.apply(conn, c, t.lead, deadline)
-	if err != nil {
-		op.noteRefusal(t, err, a)
-		return statement.Result{}, false
+	st := c.statement
+	w := connpool.Work{Values: op.session.values, Prepared: c.prepared}
+	if t.lead {
+		w.Begin = &statement.Statement{Kind: statement.Begin}
+		w.Statements = []statement.Statement{st, {Kind: statement.Rollback}}
+	} else {
+		st.After = t.after
+		w.Statements = []statement.Statement{st}
 	}
-	result, err := op.exchangeRead(conn, st, t, deadline)
-	if err != nil {
-		g.health.failed(t.server, g.now())
-		a.exclude(t.server, err.Error())
+	answer, ok := op.attempt(t, w, deadline, a)
+	if !ok {
 		return statement.Result{}, false
 	}
+	result := answer.Results[0]
 	if result.Succeeded() {
 		op.noteRead(t, result)
 		return result, true
@@ -175,27 +170,41 @@
 	return result, !retry
 }
 
-// exchangeRead sends a read whose connection is prepared. After a proof of
-// leadership the read runs inside the gateway's own transaction, which ends in
-// the same packet.
-func (op *operation) exchangeRead(conn *connpool.Conn, st statement.Statement, t target, deadline time.Time) (statement.Result, error) {
+// attempt runs work that may be repeated on a connection of its own. It reports
+// false if there is no answer to the work's first statement.
+func (op *operation) attempt(t target, w connpool.Work, deadline time.Time, a *attempts) (connpool.Answer, bool) {
+	conn, err := op.acquire(t.server, deadline, a)
+	if err != nil {
+		op.noteAcquire(t.server, err, a)
+		return connpool.Answer{}, false
+	}
+	defer conn.Release()
+	answer, err := op.do(conn, t, w, deadline, a)
+	switch {
+	case answer.Refused != nil:
+		op.noteCode(t, *answer.Refused, a)
+		return answer, false
+	case len(answer.Results) == 0:
+		op.noteFailure(t.server, err, a)
+		return answer, false
+	}
+	return answer, true
+}
+
+// do runs work on a connection and learns from the answer.
+func (op *operation) do(conn connpool.Handle, t target, w connpool.Work, deadline time.Time, a *attempts) (connpool.Answer, error) {
 	g := op.gateway()
 	sent := g.now()
-	statements := []statement.Statement{st}
-	if t.lead {
-		statements = append(statements, statement.Statement{Kind: statement.Rollback})
-	} else {
-		statements[0].After = t.after
-	}
-	results, err := conn.Exchange(deadline, statements...)
-	if len(results) == 0 {
-		return statement.Result{}, err
+	answer, err := conn.Do(deadline, w)
+	took := g.now().Sub(sent)
+	a.running += took
+	if w.Begin != nil && !w.Begin.ReadOnly && answer.Refused == nil && !answer.Began.IsZero() {
+		op.noteLeader(t.server, sent, answer.Began)
 	}
-	if results[len(results)-1].State != statement.Idle {
-		conn.Break()
+	if len(answer.Results) > 0 {
+		g.health.answered(t.server, took, answer.Results[0].Position, g.now())
 	}
-	g.health.answered(t.server, g.now().Sub(sent), results[0].Position, g.now())
-	return results[0], nil
+	return answer, err
 }
 
 // noteRead learns from a read that was served.
@@ -243,15 +252,13 @@
 }
 
 // acquire gets a connection within a part of the remaining time.
-func (op *operation) acquire(server *catalog.Server, deadline time.Time, a *attempts) (*connpool.Conn, error) {
+func (op *operation) acquire(server *catalog.Server, deadline time.Time, a *attempts) (connpool.Handle, error) {
 	g := op.gateway()
 	started := g.now()
 	defer func() { a.connecting += g.now().Sub(started) }()
-	wait := deadline.Sub(g.now()) / acquireShare
-	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(started)/acquireShare)
 	defer cancel()
-	limit := g.connLimit(g.options.Catalog(), server.Service)
-	return g.options.Pool.Acquire(ctx, server, op.account, op.session.values, limit)
+	return g.options.Conns.Acquire(ctx, server, op.account, op.session.values)
 }
 
 // noteAcquire learns from a connection that could not be had.
@@ -268,57 +275,6 @@
 	}
 }
 
-// refusalError is an instance's refusal of a statement of the gateway's own.
-type refusalError struct{ result statement.Result }
-
-// Error names the code of the refusal.
-func (e *refusalError) Error() string {
-	return "instance answered " + string(e.result.Code) + " " + e.result.Detail
-}
-
-// apply gives a connection the session's values and the prepared statement,
-// and opens a transaction if lead is set. It returns the statement to send.
-func (op *operation) apply(conn *connpool.Conn, c call, lead bool, deadline time.Time) (statement.Statement, error) {
-	prelude, name := conn.Apply(op.session.values, c.prepared)
-	st := c.statement
-	if c.prepared != nil {
-		st.Name = name
-	}
-	if lead {
-		prelude = append(prelude, statement.Statement{Kind: statement.Begin})
-	}
-	return st, op.runPrelude(conn, prelude, lead, deadline)
-}
-
-// runPrelude runs statements of the gateway's own. An error that is not a
-// refusal means that the connection failed.
-func (op *operation) runPrelude(conn *connpool.Conn, prelude []statement.Statement, lead bool, deadline time.Time) error {
-	if len(prelude) == 0 {
-		return nil
-	}
-	g := op.gateway()
-	sent := g.now()
-	results, err := conn.Exchange(deadline, prelude...)
-	if err != nil {
-		return err
-	}
-	for i := range results {
-		if results[i].Succeeded() {
-			continue
-		}
-		// The Begin comes last and leaves the values applied if it is refused.
-		if !lead || i < len(results)-1 || results[i].State != statement.Idle {
-			conn.Break()
-		}
-		return &refusalError{results[i]}
-	}
-	if lead {
-		last := results[len(results)-1]
-		op.noteLeader(conn.Server, sent, last.Position)
-	}
-	return nil
-}
-
 // noteLeader records an answer that only a leader gives.
 func (op *operation) noteLeader(server *catalog.Server, sent time.Time, p position.Position) {
 	g := op.gateway()
@@ -326,16 +282,9 @@
 	g.bounds.Add(server.Service, sent, p)
 }
 
-// noteRefusal learns from a prelude that did not succeed.
-func (op *operation) noteRefusal(t target, err error, a *attempts) {
-	var refusal *refusalError
-	if errors.As(err, &refusal) {
-		op.noteCode(t, refusal.result, a)
-		return
-	}
-	g := op.gateway()
-	g.health.failed(t.server, g.now())
-	a.exclude(t.server, err.Error())
+// noteFailure learns from a connection that failed.
+func (op *operation) noteFailure(server *catalog.Server, err error, a *attempts) {
+	op.noteAcquire(server, err, a)
 }
 
 // write runs a write outside a transaction. It is sent again only after an
@@ -371,23 +320,23 @@
 		op.noteAcquire(t.server, err, a)
 		return statement.Result{}, false
 	}
-	defer func() { g.options.Pool.Release(conn) }()
-	started := g.now()
-	defer func() { a.running += g.now().Sub(started) }()
-	st, err := op.apply(conn, c, false, deadline)
-	if err != nil {
-		op.noteRefusal(t, err, a)
-		return statement.Result{}, false
-	}
+	defer conn.Release()
 	sent := g.now()
-	results, err := conn.Exchange(deadline, st)
-	if err != nil || len(results) == 0 {
-		g.health.failed(t.server, g.now())
+	w := connpool.Work{Values: op.session.values, Prepared: c.prepared, Statements: []statement.Statement{c.statement}}
+	answer, err := op.do(conn, t, w, deadline, a)
+	switch {
+	case answer.Refused != nil:
+		op.noteCode(t, *answer.Refused, a)
+		return statement.Result{}, false
+	case len(answer.Results) == 0:
+		op.noteFailure(t.server, err, a)
+		if outcome.RetrySafe(err) {
+			return statement.Result{}, false
+		}
 		err = outcome.At("write", t.server.ID, err)
 		return statement.Result{Code: statement.InDoubt, Detail: err.Error()}, true
 	}
-	result := results[0]
-	g.health.answered(t.server, g.now().Sub(sent), result.Position, g.now())
+	result := answer.Results[0]
 	if result.Succeeded() {
 		op.noteLeader(t.server, sent, result.Position)
 		op.session.committed(result.Position, g.now())
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -21,11 +21,12 @@
 )
 
 // transaction is an open transaction of a session. It opens at an instance
-// with its first statement, so that a pause before it holds no connection.
+// together with its first statement, so that a pause before it holds no
+// connection.
 type transaction struct {
 	op       *operation
 	readOnly bool
-	conn     *connpool.Conn
+	conn     connpool.Handle
 	target   target
 	wrote    bool
 	idle     *time.Timer
@@ -67,94 +68,95 @@
 	s.failTransaction()
 }
 
-// rollback gives the connection back, or closes it if the rollback fails.
-func (tx *transaction) rollback() {
+func (tx *transaction) stopIdle() {
 	if tx.idle != nil {
 		tx.idle.Stop()
 	}
+}
+
+// rollback ends the transaction at the instance and gives the connection back.
+func (tx *transaction) rollback() {
+	tx.stopIdle()
 	if tx.conn == nil {
 		return
 	}
-	g := tx.op.gateway()
-	conn := tx.conn
-	tx.conn = nil
-	results, err := conn.Exchange(g.now().Add(rollbackTimeout), statement.Statement{Kind: statement.Rollback})
-	if err == nil && (!results[0].Succeeded() || results[0].State != statement.Idle) {
-		conn.Break()
+	w := connpool.Work{Values: tx.op.session.values, Statements: []statement.Statement{{Kind: statement.Rollback}}}
+	if _, err := tx.conn.Do(tx.op.gateway().now().Add(rollbackTimeout), w); err != nil {
+		tx.op.gateway().log.Debug("rollback failed; the connection is closed", zap.Error(err))
 	}
-	g.options.Pool.Release(conn)
+	tx.release()
 }
 
-// abandon closes the connection, which rolls back.
-func (tx *transaction) abandon() {
-	if tx.conn == nil {
-		return
+// release gives the connection back; one inside a transaction is closed.
+func (tx *transaction) release() {
+	if tx.conn != nil {
+		tx.conn.Release()
+		tx.conn = nil
 	}
-	tx.conn.Break()
-	tx.op.gateway().options.Pool.Release(tx.conn)
-	tx.conn = nil
 }
 
 // aborted ends the transaction. As its commit was not sent, nothing of it is
 // kept.
-func (s *Session) aborted(c call, detail string) statement.Result {
+func (s *Session) aborted(c call, detail string, a *attempts) statement.Result {
 	result := statement.Result{Code: statement.Aborted, Detail: "rolled back: " + detail}
-	s.logOutcome(c.statement, s.tx.op, result, nil)
+	s.logOutcome(c.statement, s.tx.op, result, a)
 	s.failTransaction()
 	return result
 }
 
+// runInTransaction runs a statement of an open transaction.
 func (s *Session) runInTransaction(c call) statement.Result {
 	tx := s.tx
-	if tx.idle != nil {
-		tx.idle.Stop()
-	}
+	tx.stopIdle()
 	if _, _, result := s.authorize(s.gateway.options.Catalog()); result.Code == statement.NoAuth {
 		s.failTransaction()
 		return result
 	}
 	deadline := tx.op.deadline(c.arrived)
+	a := &attempts{}
+	var result statement.Result
 	if tx.conn == nil {
-		if result := s.openTransaction(c, deadline); !result.Succeeded() {
-			return result
+		var opened bool
+		if result, opened = tx.open(c, deadline, a); !opened {
+			return s.aborted(c, result.Detail, a)
+		}
+	} else {
+		var err error
+		if result, err = tx.send(c, deadline, a); err != nil {
+			tx.release()
+			return s.aborted(c, outcome.At("statement in transaction", tx.target.server.ID, err).Error(), a)
 		}
-	}
-	st, err := tx.op.apply(tx.conn, c, false, deadline)
-	if err != nil {
-		tx.abandon()
-		return s.aborted(c, err.Error())
-	}
-	result, err := tx.send(st, deadline)
-	if err != nil {
-		tx.abandon()
-		return s.aborted(c, outcome.At("statement in transaction", tx.target.server.ID, err).Error())
 	}
 	if !result.Succeeded() {
 		if result.Code == statement.ReadOnly {
 			s.gateway.health.refusesLead(tx.target.server, s.gateway.now())
 		}
-		return s.aborted(c, string(result.Code)+" "+result.Detail)
+		return s.aborted(c, string(result.Code)+" "+result.Detail, a)
 	}
 	tx.wrote = tx.wrote || c.writes
+	s.logSlow(c.statement, tx.op, c.arrived, a)
 	s.watchIdle()
 	return result
 }
 
 // send runs one statement on the transaction's connection. A statement that
 // found no slot is sent again, because it did not run.
-func (tx *transaction) send(st statement.Statement, deadline time.Time) (statement.Result, error) {
-	g := tx.op.gateway()
+func (tx *transaction) send(c call, deadline time.Time, a *attempts) (statement.Result, error) {
+	op := tx.op
+	w := connpool.Work{Values: op.session.values, Prepared: c.prepared, Statements: []statement.Statement{c.statement}}
 	for try := 0; ; try++ {
-		sent := g.now()
-		results, err := tx.conn.Exchange(deadline, st)
-		if err != nil {
-			g.health.failed(tx.target.server, g.now())
+		sent := op.gateway().now()
+		answer, err := op.do(tx.conn, tx.target, w, deadline, a)
+		if answer.Refused != nil {
+			return *answer.Refused, nil
+		}
+		if len(answer.Results) == 0 {
+			op.noteFailure(tx.target.server, err, a)
 			return statement.Result{}, err
 		}
-		result := results[0]
-		g.health.answered(tx.target.server, g.now().Sub(sent), result.Position, g.now())
-		if result.Succeeded() && tx.target.lead && st.Kind != statement.Commit {
-			tx.op.noteLeader(tx.target.server, sent, result.Position)
+		result := answer.Results[0]
+		if result.Succeeded() && tx.target.lead && c.statement.Kind != statement.Commit {
+			op.noteLeader(tx.target.server, sent, result.Position)
 		}
 		again := result.Code == statement.Busy && result.State == statement.InTransaction && try < busyRetries
 		if !again {
@@ -164,28 +166,26 @@
 	}
 }
 
-// openTransaction opens the transaction at an instance.
-func (s *Session) openTransaction(c call, deadline time.Time) statement.Result {
-	g := s.gateway
-	tx := s.tx
-	a := &attempts{}
+// open opens the transaction at an instance and runs its first statement there.
+// It may go to several instances, because nothing is kept before a commit. It
+// reports false if none of them ran the statement; the detail says why.
+func (tx *transaction) open(c call, deadline time.Time, a *attempts) (statement.Result, bool) {
+	op := tx.op
+	g := op.gateway()
 	for g.now().Before(deadline) {
 		t := tx.choose(a)
 		if t.server == nil {
-			if !tx.op.pause(a, deadline) {
+			if !op.pause(a, deadline) {
 				break
 			}
 			continue
 		}
-		if tx.openAt(t, deadline, a) {
-			s.logSlow(c.statement, tx.op, c.arrived, a)
-			return statement.Result{}
+		if result, ok := tx.openAt(c, t, deadline, a); ok {
+			return result, true
 		}
 		g.stats.retries.Inc(1)
 	}
-	result := tx.op.refused(c, a)
-	s.failTransaction()
-	return result
+	return statement.Result{Detail: "not opened at an instance in time; last attempt: " + a.last}, false
 }
 
 func (tx *transaction) choose(a *attempts) target {
@@ -199,48 +199,44 @@
 }
 
 // openAt tries to open the transaction at one instance.
-func (tx *transaction) openAt(t target, deadline time.Time, a *attempts) bool {
+func (tx *transaction) openAt(c call, t target, deadline time.Time, a *attempts) (statement.Result, bool) {
 	op := tx.op
 	conn, err := op.acquire(t.server, deadline, a)
 	if err != nil {
 		op.noteAcquire(t.server, err, a)
-		return false
+		return statement.Result{}, false
 	}
-	started := op.gateway().now()
-	defer func() { a.running += op.gateway().now().Sub(started) }()
-	if t.lead {
-		_, err = op.apply(conn, call{}, true, deadline)
-	} else {
-		err = op.beginReadOnly(conn, t, deadline)
+	begin := &statement.Statement{Kind: statement.Begin}
+	if !t.lead {
+		begin.ReadOnly, begin.After = true, t.after
 	}
-	if err != nil {
-		op.noteRefusal(t, err, a)
-		op.gateway().options.Pool.Release(conn)
-		return false
+	w := connpool.Work{
+		Values: op.session.values, Prepared: c.prepared, Begin: begin,
+		Statements: []statement.Statement{c.statement},
 	}
-	tx.conn, tx.target = conn, t
-	return true
-}
-
-// beginReadOnly opens a transaction that only reads and that needs no leader.
-func (op *operation) beginReadOnly(conn *connpool.Conn, t target, deadline time.Time) error {
-	prelude, _ := conn.Apply(op.session.values, nil)
-	prelude = append(prelude, statement.Statement{Kind: statement.Begin, ReadOnly: true, After: t.after})
-	results, err := conn.Exchange(deadline, prelude...)
-	if err != nil {
-		return err
+	answer, err := op.do(conn, t, w, deadline, a)
+	if answer.Refused != nil {
+		op.noteCode(t, *answer.Refused, a)
+		conn.Release()
+		return statement.Result{}, false
 	}
-	for i := range results {
-		if results[i].Succeeded() {
-			continue
-		}
-		if i < len(results)-1 || results[i].State != statement.Idle {
-			conn.Break()
-		}
-		return &refusalError{results[i]}
+	if len(answer.Results) == 0 {
+		// Nothing is kept of a transaction without a commit, whatever ran.
+		op.noteFailure(t.server, err, a)
+		conn.Release()
+		return statement.Result{}, false
 	}
-	op.gateway().health.caughtUp(t.server, t.age)
-	return nil
+	if !t.lead {
+		op.gateway().health.caughtUp(t.server, t.age)
+	}
+	tx.conn, tx.target = conn, t
+	result := answer.Results[0]
+	if result.Succeeded() {
+		return result, true
+	}
+	op.noteCode(t, result, a)
+	tx.rollback()
+	return result, false
 }
 
 // end commits or rolls back.
@@ -258,64 +254,52 @@
 
 func (s *Session) commit(c call) statement.Result {
 	tx := s.tx
-	if tx.idle != nil {
-		tx.idle.Stop()
-	}
+	tx.stopIdle()
 	deadline := tx.op.deadline(c.arrived)
+	a := &attempts{}
+	sent := s.gateway.now()
+	s.tx = nil
+	var result statement.Result
 	if tx.conn == nil {
-		if result := s.openTransaction(c, deadline); !result.Succeeded() {
-			s.failed = false
-			return result
+		// A transaction without a statement has nothing to keep.
+		var opened bool
+		if result, opened = tx.open(c, deadline, a); !opened {
+			result.Code = statement.Aborted
 		}
-	}
-	g := s.gateway
-	sent := g.now()
-	result, err := tx.send(c.statement, deadline)
-	s.tx = nil
-	if err != nil {
-		result = tx.commitUnknown(err)
-		tx.abandon()
 	} else {
-		result = tx.commitAnswered(s, result, sent)
+		var err error
+		if result, err = tx.send(c, deadline, a); err != nil {
+			result = tx.commitUnknown(err)
+		} else {
+			result = tx.commitAnswered(s, result, sent)
+		}
 	}
-	s.logOutcome(c.statement, tx.op, result, nil)
+	tx.release()
+	s.logOutcome(c.statement, tx.op, result, a)
 	return result
 }
 
 // commitUnknown is the result of a commit without an answer. A transaction
 // that only read keeps nothing in any case.
 func (tx *transaction) commitUnknown(err error) statement.Result {
-	err = outcome.At("commit", tx.target.server.ID, err)
-	if tx.wrote {
-		return statement.Result{Code: statement.InDoubt, Detail: err.Error()}
+	if tx.wrote && !outcome.RetrySafe(err) {
+		return statement.Result{Code: statement.InDoubt, Detail: outcome.At("commit", tx.target.server.ID, err).Error()}
 	}
-	return statement.Result{Code: statement.Aborted, Detail: err.Error()}
+	return statement.Result{Code: statement.Aborted, Detail: outcome.At("commit", tx.target.server.ID, err).Error()}
 }
 
-// commitAnswered settles a commit that was answered.
+// commitAnswered settles a commit that was answered. A commit that was refused
+// as not run leaves a transaction that its connection's end rolls back.
 func (tx *transaction) commitAnswered(s *Session, result statement.Result, sent time.Time) statement.Result {
-	g := s.gateway
 	if result.Succeeded() {
 		if tx.wrote {
 			tx.op.noteLeader(tx.target.server, sent, result.Position)
-			s.committed(result.Position, g.now())
-		}
-		if result.State != statement.Idle {
-			tx.conn.Break()
+			s.committed(result.Position, s.gateway.now())
 		}
-		g.options.Pool.Release(tx.conn)
-		tx.conn = nil
 		return result
 	}
-	refused := result.Code.NotRun()
 	detail := string(result.Code) + " " + result.Detail
-	if result.State == statement.Idle {
-		g.options.Pool.Release(tx.conn)
-		tx.conn = nil
-	} else {
-		tx.rollback()
-	}
-	if refused || !tx.wrote {
+	if result.Code.NotRun() || !tx.wrote {
 		return statement.Result{Code: statement.Aborted, Detail: "rolled back: " + detail}
 	}
 	return statement.Result{Code: statement.InDoubt, Detail: detail}
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"strings"
 	"sync"
@@ -19,27 +20,36 @@
 	"github.com/bramleylever/bramleylever/lease"
 )
 
-// Prefix is where hosts register; the value is the failure domain.
+// Prefix is where hosts register; the value is a Host.
 const Prefix = "bramleylever/hosts/"
 
 const (
 	leaseTTL       = 3 * time.Second
 	keepAlivePause = 1 * time.Second
 	retryPause     = 250 * time.Millisecond
-	refreshPause   = 4 * time.Second
-	callTimeout    = 800 * time.Millisecond
+	refreshPause   = 3 * time.Second
+	// startTime is how long the other hosts are read with every renewal.
+	startTime   = 5 * time.Second
+	callTimeout = 800 * time.Millisecond
 	// countMemory is how long a host that disappeared is still counted. It may
 	// run on without the store, and its part of a limit must stay free.
 	countMemory = 15 * time.Second
 )
 
+// Host is a registered host.
+type Host struct {
+	Name   string `json:"-"`
+	Domain string `json:"failure_domain"`
+	// Address is where other hosts reach it.
+	Address string `json:"address"`
+}
+
 // Registry registers one host and follows the others.
 type Registry struct {
-	name   string
-	domain string
-	store  platform.Store
-	log    *zap.Logger
-	now    func() time.Time
+	self  Host
+	store platform.Store
+	log   *zap.Logger
+	now   func() time.Time
 
 	mu    sync.Mutex
 	id    platform.LeaseID
@@ -49,17 +59,17 @@
 
 // sighting is what is known of a host.
 type sighting struct {
-	domain string
+	Host
 	// gone is when the host was found to be no longer registered; zero while
 	// it is.
 	gone time.Time
 }
 
-// New returns the registry of the host with a name in a failure domain.
-func New(name, domain string, store platform.Store, log *zap.Logger) *Registry {
+// New returns the registry of a host.
+func New(self Host, store platform.Store, log *zap.Logger) *Registry {
 	return &Registry{
-		name: name, domain: domain, store: store, log: log, now: time.Now,
-		clock: lease.New(lease.DefaultMargin), seen: map[string]sighting{name: {domain: domain}},
+		self: self, store: store, log: log, now: time.Now,
+		clock: lease.New(lease.DefaultMargin), seen: map[string]sighting{self.Name: {Host: self}},
 	}
 }
 
@@ -78,23 +88,41 @@
 	if err != nil {
 		return err
 	}
-	present := map[string]string{}
+	present := map[string]Host{}
 	for _, item := range items {
-		present[strings.TrimPrefix(item.Key, Prefix)] = string(item.Value)
+		h := Host{Name: strings.TrimPrefix(item.Key, Prefix)}
+		if err := json.Unmarshal(item.Value, &h); err != nil {
+			r.log.Warn("host entry not readable", zap.String("key", item.Key), zap.Error(err))
+			continue
+		}
+		present[h.Name] = h
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for name, domain := range present {
-		r.seen[name] = sighting{domain: domain}
+	for name, h := range present {
+		r.seen[name] = sighting{Host: h}
 	}
 	for name, s := range r.seen {
-		if _, ok := present[name]; !ok && s.gone.IsZero() && name != r.name {
-			r.seen[name] = sighting{s.domain, r.now()}
+		if _, ok := present[name]; !ok && s.gone.IsZero() && name != r.self.Name {
+			r.seen[name] = sighting{Host: s.Host, gone: r.now()}
 		}
 	}
 	return nil
 }
 
+// Hosts returns the registered hosts.
+func (r *Registry) Hosts() []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Host, 0, len(r.seen))
+	for _, s := range r.seen {
+		if s.gone.IsZero() {
+			out = append(out, s.Host)
+		}
+	}
+	return out
+}
+
 // Live returns the number of registered hosts, and of the failure domains that
 // they are in.
 func (r *Registry) Live() (hosts, domains int) {
@@ -104,7 +132,7 @@
 	for _, s := range r.seen {
 		if s.gone.IsZero() {
 			hosts++
-			in[s.domain] = true
+			in[s.Domain] = true
 		}
 	}
 	return hosts, len(in)
@@ -129,12 +157,13 @@
 // Run registers the host and renews its lease until ctx ends; then the lease
 // is given back.
 func (r *Registry) Run(ctx context.Context) {
+	started := r.now()
 	lost := time.Time{}
 	refreshed := time.Time{}
 	for ctx.Err() == nil {
 		pause := keepAlivePause
 		err := r.step(ctx)
-		if err == nil && r.now().Sub(refreshed) >= refreshPause {
+		if err == nil && r.now().Sub(refreshed) >= r.refreshPause(started) {
 			err = r.refresh(ctx)
 			refreshed = r.now()
 		}
@@ -150,6 +179,14 @@
 	r.giveBack()
 }
 
+// refreshPause is shorter while the fleet starts.
+func (r *Registry) refreshPause(started time.Time) time.Duration {
+	if r.now().Sub(started) < startTime {
+		return 0
+	}
+	return refreshPause
+}
+
 // logChange writes a line when the registration is lost or regained, and
 // returns since when it is lost.
 func (r *Registry) logChange(lost time.Time, err error) time.Time {
@@ -195,7 +232,11 @@
 	if err != nil {
 		return err
 	}
-	_, err = r.store.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: Prefix + r.name, Value: []byte(r.domain), Lease: id}}})
+	value, err := json.Marshal(r.self)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: Prefix + r.self.Name, Value: value, Lease: id}}})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/relay/convert.go
@@ -0,0 +1,123 @@
+package relay
+
+import (
+	"time"
+
+	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/connpool"
+	"github.com/bramleylever/bramleylever/internal/statement"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+func toPosition(p position.Position) *peerv1.RelayPosition {
+	if p.IsZero() {
+		return nil
+	}
+	return &peerv1.RelayPosition{Epoch: p.Term.Epoch, Sequence: p.Term.Sequence, Lsn: uint64(p.LSN)}
+}
+
+func fromPosition(p *peerv1.RelayPosition) position.Position {
+	return position.Position{
+		Term: position.Term{Epoch: p.GetEpoch(), Sequence: p.GetSequence()}, LSN: position.LSN(p.GetLsn()),
+	}
+}
+
+func toStatement(s *statement.Statement) *peerv1.RelayStatement {
+	return &peerv1.RelayStatement{
+		Id: s.ID, Kind: uint32(s.Kind), ReadOnly: s.ReadOnly, Writes: s.Writes, Name: s.Name, Value: s.Value,
+		Args: s.Args, Text: s.Text, After: toPosition(s.After), Term: s.Term,
+	}
+}
+
+func fromStatement(s *peerv1.RelayStatement) statement.Statement {
+	return statement.Statement{
+		ID: s.GetId(), Kind: statement.Kind(s.GetKind()), ReadOnly: s.GetReadOnly(), Writes: s.GetWrites(),
+		Name: s.GetName(), Value: s.GetValue(), Args: s.GetArgs(), Text: s.GetText(),
+		After: fromPosition(s.GetAfter()), Term: s.GetTerm(),
+	}
+}
+
+func toResult(r *statement.Result) *peerv1.RelayResult {
+	out := &peerv1.RelayResult{
+		Rows: r.Rows, Signature: r.Signature, Code: string(r.Code), Detail: r.Detail,
+		State: uint32(r.State), Position: toPosition(r.Position),
+	}
+	if r.Instance != nil {
+		out.Instance = &peerv1.RelayInstance{
+			Primary: r.Instance.Primary, Received: toPosition(r.Instance.Received), LagMs: r.Instance.Lag.Milliseconds(),
+		}
+	}
+	return out
+}
+
+func fromResult(r *peerv1.RelayResult) statement.Result {
+	out := statement.Result{
+		Rows: r.GetRows(), Signature: r.GetSignature(), Code: statement.Code(r.GetCode()), Detail: r.GetDetail(),
+		State: statement.State(r.GetState()), Position: fromPosition(r.GetPosition()),
+	}
+	if in := r.GetInstance(); in != nil {
+		out.Instance = &statement.Instance{
+			Primary: in.GetPrimary(), Received: fromPosition(in.GetReceived()), Lag: time.Duration(in.GetLagMs()) * time.Millisecond,
+		}
+	}
+	return out
+}
+
+func toRequest(w *connpool.Work, remaining time.Duration) *peerv1.LeaseRequest {
+	request := &peerv1.LeaseRequest{RemainingMs: remaining.Milliseconds()}
+	for name, value := range w.Values {
+		request.Values = append(request.Values, &peerv1.Variable{Name: name, Value: value})
+	}
+	if w.Prepared != nil {
+		request.Prepared = true
+		request.PreparedWrites, request.PreparedShape = w.Prepared.Writes, w.Prepared.Shape
+	}
+	if w.Begin != nil {
+		request.Begin = toStatement(w.Begin)
+	}
+	for i := range w.Statements {
+		request.Statements = append(request.Statements, toStatement(&w.Statements[i]))
+	}
+	return request
+}
+
+func fromRequest(r *peerv1.LeaseRequest) connpool.Work {
+	w := connpool.Work{Values: make(connpool.Values, len(r.GetValues()))}
+	for _, v := range r.GetValues() {
+		w.Values[v.GetName()] = v.GetValue()
+	}
+	if r.GetPrepared() {
+		w.Prepared = &connpool.Prepared{Writes: r.GetPreparedWrites(), Shape: r.GetPreparedShape()}
+	}
+	if r.GetBegin() != nil {
+		begin := fromStatement(r.GetBegin())
+		w.Begin = &begin
+	}
+	for _, s := range r.GetStatements() {
+		w.Statements = append(w.Statements, fromStatement(s))
+	}
+	return w
+}
+
+func toReply(a *connpool.Answer) *peerv1.LeaseReply {
+	reply := &peerv1.LeaseReply{Began: toPosition(a.Began), Use: uint32(a.Use)}
+	if a.Refused != nil {
+		reply.Refused = toResult(a.Refused)
+	}
+	for i := range a.Results {
+		reply.Results = append(reply.Results, toResult(&a.Results[i]))
+	}
+	return reply
+}
+
+func fromReply(r *peerv1.LeaseReply) connpool.Answer {
+	a := connpool.Answer{Began: fromPosition(r.GetBegan()), Use: int(r.GetUse())}
+	if r.GetRefused() != nil {
+		refused := fromResult(r.GetRefused())
+		a.Refused = &refused
+	}
+	for _, result := range r.GetResults() {
+		a.Results = append(a.Results, fromResult(result))
+	}
+	return a
+}
--- /dev/null
+++ b/internal/relay/router.go
@@ -0,0 +1,217 @@
+// Package relay concentrates the connections to each instance on few hosts.
+//
+// Instances accept few connections, and a connection serves one client account.
+// If every host kept its own, most operations would have to open one. So each
+// pair of an instance and an account has a holder, chosen by rendezvous hashing
+// among the hosts in the instance's failure domain; other hosts run their work
+// over the holder's connections. A host that reaches no holder connects to the
+// instance itself.
+//
+// Invariant: work whose outcome at a holder is not known is never reported as
+// not run.
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/connpool"
+	"github.com/bramleylever/bramleylever/internal/hosts"
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/peer"
+)
+
+const (
+	// minAvoid and maxAvoid bound how long a holder that failed is not used.
+	minAvoid = 300 * time.Millisecond
+	maxAvoid = 3 * time.Second
+	// leavingAvoid is how long a host that said that it stops is not used.
+	leavingAvoid = 10 * time.Second
+	// useValidity is how long a holder's report of its load counts.
+	useValidity = 300 * time.Millisecond
+)
+
+// Options configures a Router.
+type Options struct {
+	Self    string
+	Pool    *connpool.Pool
+	Peers   *peer.Pool
+	Hosts   func() []hosts.Host
+	Catalog func() *catalog.Snapshot
+	Log     *zap.Logger
+	// Registry receives the metrics.
+	Registry metrics.Registry
+}
+
+// Router hands out connections, own or relayed. It implements
+// connpool.Source.
+type Router struct {
+	peerv1.UnimplementedRelayServer
+	options Options
+	now     func() time.Time
+	leaving atomic.Bool
+	relayed metrics.Counter
+	direct  metrics.Counter
+
+	mu     sync.Mutex
+	avoid  map[string]avoidance
+	remote map[string]load
+}
+
+// avoidance is how long a host is not used as holder.
+type avoidance struct {
+	until   time.Time
+	backoff time.Duration
+}
+
+// load is what is known of the use of an instance's connections elsewhere.
+type load struct {
+	own      int
+	reported int
+	at       time.Time
+}
+
+var _ connpool.Source = (*Router)(nil)
+
+// NewRouter returns a router; Register makes it a holder for others.
+func NewRouter(o Options) *Router {
+	return &Router{
+		options: o, now: time.Now, avoid: map[string]avoidance{}, remote: map[string]load{},
+		relayed: metrics.GetOrRegisterCounter("relay.leases_count", o.Registry),
+		direct:  metrics.GetOrRegisterCounter("relay.direct_count", o.Registry),
+	}
+}
+
+// Register serves other hosts on a gRPC server.
+func (r *Router) Register(s grpc.ServiceRegistrar) { peerv1.RegisterRelayServer(s, r) }
+
+// Leave makes the router refuse new leases, so that other hosts turn away.
+func (r *Router) Leave() { r.leaving.Store(true) }
+
+// holders returns the hosts that may hold connections to an instance: those in
+// its failure domain, or all if there is none.
+func (r *Router) holders(server *catalog.Server) []hosts.Host {
+	all := r.options.Hosts()
+	near := make([]hosts.Host, 0, len(all))
+	for _, h := range all {
+		if h.Domain == server.Domain {
+			near = append(near, h)
+		}
+	}
+	if len(near) == 0 {
+		return all
+	}
+	return near
+}
+
+// holder returns the holder for a pair of an instance and an account, or false
+// if none can be used now.
+func (r *Router) holder(server *catalog.Server, account string) (hosts.Host, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	var best hosts.Host
+	var bestScore uint64
+	for _, h := range r.holders(server) {
+		self := h.Name == r.options.Self
+		if !self && (h.Address == "" || now.Before(r.avoid[h.Name].until)) {
+			continue
+		}
+		score := xxhash.Sum64String(server.ID + "\x00" + account + "\x00" + h.Name)
+		if best.Name == "" || score > bestScore {
+			best, bestScore = h, score
+		}
+	}
+	return best, best.Name != ""
+}
+
+// Acquire implements connpool.Source. A relayed connection is opened with its
+// first work.
+func (r *Router) Acquire(ctx context.Context, server *catalog.Server, account string, values connpool.Values) (connpool.Handle, error) {
+	holder, ok := r.holder(server, account)
+	if ok && holder.Name != r.options.Self {
+		r.relayed.Inc(1)
+		r.count(server, 1)
+		return &remote{router: r, holder: holder, server: server, account: account}, nil
+	}
+	if !ok {
+		r.direct.Inc(1)
+	}
+	return r.options.Pool.Lease(ctx, server, account, values, r.limit(r.options.Catalog(), server))
+}
+
+// count changes the number of leases of this host at other holders.
+func (r *Router) count(server *catalog.Server, change int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.remote[server.ID]
+	l.own += change
+	r.remote[server.ID] = l
+}
+
+// report records the load that a holder reported.
+func (r *Router) report(server *catalog.Server, use int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.remote[server.ID]
+	l.reported, l.at = use, r.now()
+	r.remote[server.ID] = l
+}
+
+// Use implements connpool.Source.
+func (r *Router) Use(server *catalog.Server) int {
+	use := r.options.Pool.Use(server)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.remote[server.ID]
+	if r.now().Sub(l.at) < useValidity {
+		return max(use, l.own, l.reported)
+	}
+	return max(use, l.own)
+}
+
+// failed turns away from a holder that did not answer.
+func (r *Router) failed(holder hosts.Host, err error) {
+	r.mu.Lock()
+	now := r.now()
+	a := r.avoid[holder.Name]
+	first := !now.Before(a.until)
+	if first {
+		a.backoff = min(maxAvoid, max(minAvoid, 2*a.backoff))
+		a.until = now.Add(a.backoff)
+		r.avoid[holder.Name] = a
+	}
+	r.mu.Unlock()
+	if !first {
+		return
+	}
+	// The connection may have gone silent, while a new one would work.
+	r.options.Peers.Forget(holder.Address)
+	r.options.Log.Info("holder not reached", zap.String(logging.FieldDecision, "avoid_holder"),
+		zap.String(logging.FieldPeer, holder.Name), zap.Duration("backoff", a.backoff), zap.Error(err))
+}
+
+// left turns away from a holder that said that it stops.
+func (r *Router) left(holder hosts.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoid[holder.Name] = avoidance{until: r.now().Add(leavingAvoid)}
+}
+
+// answered forgets the earlier failures of a holder.
+func (r *Router) answered(holder hosts.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a, ok := r.avoid[holder.Name]; ok && !r.now().Before(a.until) {
+		delete(r.avoid, holder.Name)
+	}
+}
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,110 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/connpool"
+	"github.com/bramleylever/bramleylever/internal/outcome"
+)
+
+// acquireShare is the part of the remaining time that a lease may wait for a
+// connection.
+const acquireShare = 2
+
+// Lease implements the gRPC service: it runs the work of another host on a
+// connection of this one.
+func (r *Router) Lease(stream peerv1.Relay_LeaseServer) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	if first.GetOpen() == nil {
+		return status.Error(codes.InvalidArgument, "the first request of a lease must name an instance")
+	}
+	if r.leaving.Load() {
+		return stream.Send(&peerv1.LeaseReply{Leaving: true, NotRun: true, Error: "host is stopping"})
+	}
+	handle, err := r.openLease(stream.Context(), first)
+	if err != nil {
+		return stream.Send(failure(&connpool.Answer{}, err))
+	}
+	defer handle.Release()
+	for request := first; ; {
+		deadline := r.now().Add(time.Duration(request.GetRemainingMs()) * time.Millisecond)
+		answer, err := handle.Do(deadline, fromRequest(request))
+		reply := toReply(&answer)
+		if err != nil {
+			reply = failure(&answer, err)
+		}
+		if err := stream.Send(reply); err != nil {
+			return err
+		}
+		if request, err = stream.Recv(); err != nil {
+			// The other host is done, or gone.
+			return nil
+		}
+	}
+}
+
+func (r *Router) openLease(ctx context.Context, first *peerv1.LeaseRequest) (connpool.Handle, error) {
+	open := first.GetOpen()
+	snapshot := r.options.Catalog()
+	server := snapshot.Servers[open.GetServerId()]
+	if server == nil || server.Started != open.GetStarted() {
+		return nil, fmt.Errorf("instance %s is not known here: %w", open.GetServerId(), outcome.ErrNotRun)
+	}
+	wait := time.Duration(first.GetRemainingMs()) * time.Millisecond / acquireShare
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	values := fromRequest(first).Values
+	return r.options.Pool.Lease(ctx, server, open.GetAccount(), values, r.limit(snapshot, server))
+}
+
+// failure is the reply for work that got an error.
+func failure(answer *connpool.Answer, err error) *peerv1.LeaseReply {
+	reply := toReply(answer)
+	reply.Error = err.Error()
+	reply.NotRun = outcome.RetrySafe(err)
+	var refusal *connpool.Refusal
+	if errors.As(err, &refusal) {
+		reply.RefusalCode, reply.NotRun = string(refusal.Code), true
+	}
+	return reply
+}
+
+// limit returns how many connections this host keeps to an instance. The hosts
+// in the instance's failure domain share all but a reserve of its connections.
+func (r *Router) limit(snapshot *catalog.Snapshot, server *catalog.Server) connpool.Limit {
+	conns := defaultMaxConns
+	if s := snapshot.Config.Services[server.Service]; s != nil && s.MaxConns > 0 {
+		conns = s.MaxConns
+	}
+	holders := r.holders(server)
+	for _, h := range holders {
+		if h.Name == r.options.Self {
+			share := max(minHeld, int(heldPart*float64(conns))/len(holders))
+			return connpool.Limit{Open: share, Idle: share}
+		}
+	}
+	return connpool.Limit{Open: directConns, Idle: 1}
+}
+
+const (
+	// defaultMaxConns applies to services without a limit of their own.
+	defaultMaxConns = 32
+	// heldPart is the part of an instance's connections that its holders use;
+	// the rest is for hosts that do not reach a holder.
+	heldPart = 0.85
+	// minHeld is the least number of connections that a holder may open.
+	minHeld = 2
+	// directConns is the number of connections that another host may open.
+	directConns = 2
+)
