Size quota holdings by the demand alone and renew only what is stale

Cause: every host held 1 operation/s beyond 1.4 times its demand, 36% of a limit of 25/s over 9 hosts, so small accounts were refused within their rate and renewals of all shards conflicted.

--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -116,7 +116,7 @@
 		detail = "no instance to ask"
 	}
 	result := statement.Result{Code: statement.Busy, Detail: "not run: " + detail}
-	op.session.logOutcome(c.statement, op, result, a)
+	op.session.logOutcome(c, op, result, a)
 	return result
 }
 
@@ -135,7 +135,7 @@
 		}
 		result, done := op.tryRead(c, t, deadline, a)
 		if done {
-			op.session.logOutcome(c.statement, op, result, a)
+			op.session.logOutcome(c, op, result, a)
 			return result
 		}
 		g.stats.retries.Inc(1)
@@ -303,7 +303,7 @@
 		}
 		result, done := op.tryWrite(c, target{server: server, lead: true, reason: reasonWrite}, deadline, a)
 		if done {
-			op.session.logOutcome(c.statement, op, result, a)
+			op.session.logOutcome(c, op, result, a)
 			return result
 		}
 		g.stats.retries.Inc(1)
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -240,7 +240,7 @@
 	}
 	op, refused := s.admit(arrived)
 	if op == nil {
-		s.logOutcome(st, nil, refused, nil)
+		s.logOutcome(call, nil, refused, nil)
 		return refused
 	}
 	if writes {
@@ -255,10 +255,11 @@
 
 // logOutcome writes the line for a statement that was not served in the usual
 // way.
-func (s *Session) logOutcome(st statement.Statement, op *operation, result statement.Result, a *attempts) {
+func (s *Session) logOutcome(c call, op *operation, result statement.Result, a *attempts) {
+	st := c.statement
 	if result.Succeeded() {
 		if a != nil {
-			s.logSlow(st, op, op.arrived, a)
+			s.logSlow(st, op, c.arrived, a)
 		}
 		return
 	}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -38,7 +38,7 @@
 	}
 	op, refused := s.admit(arrived)
 	if op == nil {
-		s.logOutcome(st, nil, refused, nil)
+		s.logOutcome(call{statement: st, arrived: arrived}, nil, refused, nil)
 		return refused
 	}
 	s.tx = &transaction{op: op, readOnly: st.ReadOnly}
@@ -99,7 +99,7 @@
 // kept.
 func (s *Session) aborted(c call, detail string, a *attempts) statement.Result {
 	result := statement.Result{Code: statement.Aborted, Detail: "rolled back: " + detail}
-	s.logOutcome(c.statement, s.tx.op, result, a)
+	s.logOutcome(c, s.tx.op, result, a)
 	s.failTransaction()
 	return result
 }
@@ -275,7 +275,7 @@
 		}
 	}
 	tx.release()
-	s.logOutcome(c.statement, tx.op, result, a)
+	s.logOutcome(c, tx.op, result, a)
 	return result
 }
 
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -18,28 +18,28 @@
 const (
 	// floorPart is the part of a limit that is divided equally, so that every
 	// host admits the first operations of an account at once.
-	floorPart = 0.1
+	floorPart = 0.3
 	// holdTime is how long a host uses a holding that it cannot renew, and
 	// reclaimTime how long others wait before they take it.
 	holdTime    = 20 * time.Second
 	reclaimTime = 25 * time.Second
 	// demandWindow is the time over which the demand is averaged.
-	demandWindow = 2 * time.Second
+	demandWindow = 3 * time.Second
 	// tightRoom and wideRoom are the parts of the demand that a host holds
 	// beyond it: at least, and while the limit is far from used up.
-	tightRoom = 0.4
-	wideRoom  = 1.2
-	// demandFloor is the least demand that a host with any arrivals holds
-	// for, in operations per second.
-	demandFloor = 1.0
+	tightRoom = 0.15
+	wideRoom  = 1.0
 	// comfortable is the sum of fractions up to which hosts hold more than they
 	// need and keep what they do not use.
-	comfortable = 0.75
+	comfortable = 0.5
 	// initialPart is the part of a limit that the hosts divide equally before
 	// they know the demand.
-	initialPart = 0.7
-	// urgentRoom is the room below which a holding is raised at once.
-	urgentRoom = 0.1
+	initialPart = 0.5
+	// changePart is the part by which a need must differ from a holding to be
+	// written before the holding has to be renewed.
+	changePart = 0.15
+	// renewTime is the age at which a holding is renewed in any case.
+	renewTime = 8 * time.Second
 )
 
 // limit is the rate and burst of an account over the whole fleet. Slack is the
@@ -135,13 +135,15 @@
 // second.
 const idleDemand = 0.2
 
-// wanted returns the fraction that covers the demand and a part of it as room.
+// wanted returns the fraction that covers, together with the floor, the demand
+// and a part of it as room.
 func (a *account) wanted(room float64, now time.Time) float64 {
 	a.decay(now)
 	if a.limit.rate <= 0 || a.demand < idleDemand {
 		return 0
 	}
-	return (demandFloor + a.demand*(1+room)) / a.limit.rate
+	floor := floorPart / float64(max(1, a.hosts))
+	return max(0, a.demand*(1+room)/a.limit.rate-floor)
 }
 
 // target returns the fraction to hold, given what other hosts hold.
@@ -166,8 +168,15 @@
 
 // urgent reports whether the holding is too small and may be raised.
 func (a *account) urgent(now time.Time) bool {
-	if a.exhausted {
-		return false
+	return !a.exhausted && (a.short || a.wanted(0, now) > a.fraction)
+}
+
+// stale reports whether the holding should be written: it is old, or the need
+// has changed.
+func (a *account) stale(others float64, now time.Time) bool {
+	if now.Sub(a.renewed) >= renewTime && (a.fraction > 0 || a.wish > 0) {
+		return true
 	}
-	return a.short || a.wanted(urgentRoom, now) > a.fraction
+	target := a.target(others, now)
+	return math.Abs(target-a.fraction) > changePart*max(a.fraction, floorPart/float64(max(1, a.hosts)))
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -27,18 +27,18 @@
 	// urgentPause is the least time between two writes of a host whose
 	// holdings are too small, and renewPause the time between two others.
 	urgentPause = 250 * time.Millisecond
-	renewPause  = 3 * time.Second
+	renewPause  = 2 * time.Second
 	// settleTime is how long a host that starts waits for the registrations of
 	// the others before it takes its initial part.
 	settleTime  = 4 * time.Second
 	callTimeout = 600 * time.Millisecond
 	// writeTries bounds the attempts of one write against other hosts.
-	writeTries = 4
+	writeTries = 6
 	// maxWait is how long an operation waits for a token before it is refused.
 	maxWait = 120 * time.Millisecond
 	// slackPart is the part of the accepted slack that is used; the rest covers
 	// operations that change hosts while fractions move.
-	slackPart = 0.6
+	slackPart = 0.8
 )
 
 // Slack is what the users accept beyond a limit within a window.
@@ -215,23 +215,25 @@
 
 func (s shardSet) has(shard int) bool { return s&(1<<shard) != 0 }
 
-// due returns the shards to write: all of them to renew the holdings, or those
-// with a holding that is too small.
+// due returns the shards to write: now and then those with a holding that is
+// old or does not suit, and sooner those with one that is too small.
 func (l *Limiter) due() shardSet {
 	now := l.now()
-	if now.Sub(l.renewed) >= renewPause {
-		l.renewed = now
-		return allShards
-	}
-	if now.Sub(l.written) < urgentPause {
+	renew := now.Sub(l.renewed) >= renewPause
+	if !renew && now.Sub(l.written) < urgentPause {
 		return 0
 	}
+	if renew {
+		l.renewed = now
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.addAccounts(now)
 	var shards shardSet
 	for name, a := range l.accounts {
-		if a.urgent(now) {
-			shards |= 1 << shardOf(name)
+		shard := shardOf(name)
+		if a.urgent(now) || renew && a.stale(l.ledgers[shard].others(name, l.options.Host), now) {
+			shards |= 1 << shard
 		}
 	}
 	return shards
@@ -304,7 +306,6 @@
 func (l *Limiter) plan(next *[shardCount]ledger, shards shardSet, now time.Time) []change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.addAccounts(now)
 	var changes []change
 	for name, a := range l.accounts {
 		shard := shardOf(name)
