--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -125,6 +125,18 @@
 	Evacuated map[string]bool
 	// Confirmed is when the store last confirmed the view.
 	Confirmed time.Time
+	// Complete says that all parts of the catalog were read at least once.
+	// Before that a part may be known without another.
+	Complete bool
+}
+
+// Service returns the settings of a service, or nil if the configuration does
+// not name it or was not read yet.
+func (s *Snapshot) Service(name string) *Service {
+	if s.Config == nil {
+		return nil
+	}
+	return s.Config.Services[name]
 }
 
 // Primary returns the registered primary of a service: the server that took
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,150 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/platform/platformtest"
+)
+
+func TestCatalog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "catalog")
+}
+
+// testLayout stores configurations and servers as plain JSON.
+func testLayout() Layout {
+	return Layout{
+		OperatorPrefix: "c/", ConfigKey: "c/config", EvacuationPrefix: "c/evacuated/", ServerPrefix: "s/",
+		DecodeConfig: func(value []byte) (*Config, error) {
+			c := &Config{}
+			return c, json.Unmarshal(value, c)
+		},
+		DecodeServer: func(id string, value []byte) (Server, error) {
+			s := Server{}
+			err := json.Unmarshal(value, &s)
+			s.ID = id
+			return s, err
+		},
+	}
+}
+
+var _ = Describe("Follower", func() {
+	var memory *platformtest.Memory
+	var follower *Follower
+	ctx := context.Background()
+
+	put := func(key string, value any) {
+		data, err := json.Marshal(value)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = memory.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: key, Value: data}}})
+		Expect(err).NotTo(HaveOccurred())
+	}
+	remove := func(key string) {
+		_, err := memory.Txn(ctx, platform.Txn{Deletes: []string{key}})
+		Expect(err).NotTo(HaveOccurred())
+	}
+	version := func() int64 {
+		if c := follower.Snapshot().Config; c != nil {
+			return c.Version
+		}
+		return 0
+	}
+	BeforeEach(func() {
+		memory = platformtest.NewMemory(nil)
+		follower = NewFollower(memory, testLayout(), zap.NewNop())
+		ctx, cancel := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() { defer close(done); follower.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-done })
+	})
+
+	// Guards against a configuration that goes back when an old value is read.
+	It("never goes back in version", func() {
+		put("c/config", Config{Version: 7})
+		Eventually(version).Should(Equal(int64(7)))
+		put("c/config", Config{Version: 5})
+		put("s/i1", Server{Service: "x"})
+		Eventually(func() int { return len(follower.Snapshot().Servers) }).Should(Equal(1))
+		Consistently(version, 100*time.Millisecond).Should(Equal(int64(7)))
+	})
+
+	// Guards against a host that answers as if it knew all when it has read the
+	// servers but no configuration: a holder crashed on that after a restart.
+	It("is not complete before every part was read", func() {
+		put("s/i1", Server{Service: "x"})
+		Eventually(func() int { return len(follower.Snapshot().Servers) }).Should(Equal(1))
+		Expect(follower.Snapshot().Complete).To(BeFalse())
+		Expect(follower.Snapshot().Service("x")).To(BeNil())
+		put("c/config", Config{Version: 1, Services: map[string]*Service{"x": {Name: "x"}}})
+		Eventually(func() bool { return follower.Snapshot().Complete }).Should(BeTrue())
+		Expect(follower.Snapshot().Service("x")).NotTo(BeNil())
+	})
+
+	// Guards against changes that are missed when the history is dropped.
+	It("reads everything again after the history was compacted", func() {
+		put("c/config", Config{Version: 1})
+		Eventually(version).Should(Equal(int64(1)))
+		memory.SetFault(platformtest.Fault{Err: platform.ErrUnavailable})
+		time.Sleep(50 * time.Millisecond)
+		memory.SetFault(platformtest.Fault{})
+		put("c/config", Config{Version: 2})
+		put("c/evacuated/d1", struct{}{})
+		memory.Compact(1 << 30)
+		Eventually(version).Should(Equal(int64(2)))
+		Eventually(func() bool { return follower.Snapshot().Evacuated["d1"] }).Should(BeTrue())
+		memory.Compact(0)
+		remove("c/evacuated/d1")
+		Eventually(func() bool { return follower.Snapshot().Evacuated["d1"] }, 3*time.Second).Should(BeFalse())
+	})
+
+	// Guards against an unreadable entry of another writer that hides the rest.
+	It("leaves out an entry that cannot be read", func() {
+		_, err := memory.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: "s/bad", Value: []byte("{")}}})
+		Expect(err).NotTo(HaveOccurred())
+		put("s/good", Server{Service: "x"})
+		Eventually(func() map[string]*Server { return follower.Snapshot().Servers }).Should(HaveKey("good"))
+		Expect(follower.Snapshot().Servers).NotTo(HaveKey("bad"))
+	})
+})
+
+var _ = Describe("view", func() {
+	now := time.Now()
+
+	// Guards against servers that are dropped because the store was away.
+	It("keeps a server whose entry lapsed for the grace time", func() {
+		v := newView()
+		v.putServer(Server{ID: "i1", Service: "x", Revision: 1})
+		v.lapseServer("i1", now)
+		Expect(v.expire(now.Add(LapseGrace - time.Millisecond))).To(BeFalse())
+		Expect(v.snapshot().Servers).To(HaveKey("i1"))
+		Expect(v.expire(now.Add(LapseGrace))).To(BeTrue())
+		Expect(v.snapshot().Servers).NotTo(HaveKey("i1"))
+	})
+
+	// Guards against new work for a server that said that it leaves.
+	It("removes a draining server at once", func() {
+		v := newView()
+		v.putServer(Server{ID: "i1", Service: "x", Revision: 1, Draining: true})
+		v.lapseServer("i1", now)
+		Expect(v.snapshot().Servers).NotTo(HaveKey("i1"))
+	})
+
+	// Guards against an old primary that is chosen because it wrote its entry
+	// again for another reason than its role.
+	It("takes the server that took the role last as primary", func() {
+		v := newView()
+		v.putServer(Server{ID: "old", Service: "x", Role: Primary, Revision: 1})
+		v.putServer(Server{ID: "new", Service: "x", Role: Replica, Revision: 2})
+		v.putServer(Server{ID: "new", Service: "x", Role: Primary, Revision: 3})
+		v.putServer(Server{ID: "old", Service: "x", Role: Primary, Revision: 4, Draining: true})
+		Expect(v.snapshot().Primary("x").ID).To(Equal("new"))
+	})
+})
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -74,7 +74,7 @@
 func (f *Follower) WaitReady(ctx context.Context) error {
 	for {
 		changed := f.Changed()
-		if f.Snapshot().Config != nil {
+		if f.Snapshot().Complete {
 			return nil
 		}
 		select {
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -11,6 +11,9 @@
 // seconds of its return.
 const LapseGrace = 2 * time.Second
 
+// prefixCount is the number of prefixes that a follower reads.
+const prefixCount = 2
+
 // view is the mutable state behind the snapshots. It does no I/O.
 type view struct {
 	config    *Config
@@ -98,6 +101,7 @@
 		Groups:    map[string][]*Server{},
 		Evacuated: make(map[string]bool, len(v.evacuated)),
 		Confirmed: v.oldest(),
+		Complete:  v.config != nil && len(v.confirmed) == prefixCount,
 	}
 	for id, server := range v.servers {
 		s.Servers[id] = server
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -38,12 +38,12 @@
 func (g *Gateway) Inspector() Inspector { return Inspector{g} }
 
 // Status implements promotion.Inspector.
-func (i Inspector) Status(ctx context.Context, server *catalog.Server) (promotion.Report, error) {
+func (i Inspector) Status(ctx context.Context, server *catalog.Server) (promotion.Candidate, error) {
 	return i.ask(ctx, server, statement.Statement{Kind: statement.Status})
 }
 
 // Pause implements promotion.Inspector.
-func (i Inspector) Pause(ctx context.Context, server *catalog.Server) (promotion.Report, error) {
+func (i Inspector) Pause(ctx context.Context, server *catalog.Server) (promotion.Candidate, error) {
 	before, err := i.Status(ctx, server)
 	if err != nil {
 		return before, err
@@ -57,36 +57,36 @@
 	return err
 }
 
-func (i Inspector) ask(ctx context.Context, server *catalog.Server, st statement.Statement) (promotion.Report, error) {
+func (i Inspector) ask(ctx context.Context, server *catalog.Server, st statement.Statement) (promotion.Candidate, error) {
 	g := i.gateway
 	conn, err := g.options.Conns.Acquire(ctx, server, anonymous, nil)
 	if err != nil {
-		return promotion.Report{}, err
+		return promotion.Candidate{}, err
 	}
 	defer conn.Release()
 	deadline, _ := ctx.Deadline()
 	for {
 		answer, err := conn.Do(deadline, connpool.Work{Statements: []statement.Statement{st}})
 		if err != nil {
-			return promotion.Report{}, err
+			return promotion.Candidate{}, err
 		}
 		if answer.Refused != nil {
-			return report(server, *answer.Refused)
+			return candidate(server, *answer.Refused)
 		}
 		if answer.Results[0].Code != statement.Busy {
-			return report(server, answer.Results[0])
+			return candidate(server, answer.Results[0])
 		}
 		select {
 		case <-ctx.Done():
-			return promotion.Report{}, ctx.Err()
+			return promotion.Candidate{}, ctx.Err()
 		case <-time.After(statusPause):
 		}
 	}
 }
 
-func report(server *catalog.Server, result statement.Result) (promotion.Report, error) {
+func candidate(server *catalog.Server, result statement.Result) (promotion.Candidate, error) {
 	if !result.Succeeded() || result.Instance == nil {
-		return promotion.Report{}, fmt.Errorf("status of %s: answer %s %s", server.ID, result.Code, result.Detail)
+		return promotion.Candidate{}, fmt.Errorf("status of %s: answer %s %s", server.ID, result.Code, result.Detail)
 	}
-	return promotion.Report{Server: server, Received: result.Instance.Received}, nil
+	return promotion.Candidate{Server: server, Received: result.Instance.Received}, nil
 }
--- a/internal/promotion/decide.go
+++ b/internal/promotion/decide.go
@@ -79,8 +79,8 @@
 	return count >= quorum && len(seen) >= min(2, domains)
 }
 
-// Report is what an instance says of itself.
-type Report struct {
+// Candidate is an instance that may take over, with what it received.
+type Candidate struct {
 	Server   *catalog.Server
 	Received position.Position
 }
@@ -99,20 +99,20 @@
 	return out
 }
 
-// best returns the report of the instance that received most, or nil.
-func best(reports []Report) *Report {
-	var best *Report
-	for i := range reports {
-		if best == nil || reports[i].Received.Compare(best.Received) > 0 {
-			best = &reports[i]
+// best returns the candidate that received most, or nil.
+func best(found []Candidate) *Candidate {
+	var best *Candidate
+	for i := range found {
+		if best == nil || found[i].Received.Compare(best.Received) > 0 {
+			best = &found[i]
 		}
 	}
 	return best
 }
 
-// sufficient reports whether the reports must include every acknowledged
+// sufficient reports whether the candidates found must include every acknowledged
 // commit. With n replicas, of which sync confirm each commit, any n-sync+1 of
 // them include one that confirmed it.
-func sufficient(reports, replicas, sync int) bool {
-	return sync == 0 || reports >= max(1, replicas-sync+1)
+func sufficient(found, replicas, sync int) bool {
+	return sync == 0 || found >= max(1, replicas-sync+1)
 }
--- /dev/null
+++ b/internal/promotion/promotion_test.go
@@ -0,0 +1,228 @@
+package promotion
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/platform/platformtest"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+func TestPromotion(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "promotion")
+}
+
+func at(lsn uint64) position.Position {
+	return position.Position{Term: position.Term{Epoch: 1}, LSN: position.LSN(lsn)}
+}
+
+// world is one service with three instances, seen by hosts on one store.
+type world struct {
+	memory   *platformtest.Memory
+	now      time.Time
+	snapshot *catalog.Snapshot
+	received map[string]position.Position
+	failing  map[string]bool
+	hosts    []*Runner
+
+	mu     sync.Mutex
+	orders []order
+	answer error
+	paused map[string]bool
+}
+
+type order struct {
+	id     string
+	holder string
+	token  int64
+}
+
+// Promote implements Orderer.
+func (w *world) Promote(_ context.Context, _, id, holder string, token int64) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.orders = append(w.orders, order{id, holder, token})
+	return w.answer
+}
+
+// Status implements Inspector.
+func (w *world) Status(_ context.Context, server *catalog.Server) (Candidate, error) {
+	p, ok := w.received[server.ID]
+	if !ok {
+		return Candidate{}, errors.New("silent")
+	}
+	return Candidate{Server: server, Received: p}, nil
+}
+
+// Pause implements Inspector.
+func (w *world) Pause(ctx context.Context, server *catalog.Server) (Candidate, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.paused[server.ID] = true
+	return w.Status(ctx, server)
+}
+
+// Resume implements Inspector.
+func (w *world) Resume(_ context.Context, server *catalog.Server) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.paused, server.ID)
+	return nil
+}
+
+func newWorld(hosts, domains, sync int) *world {
+	w := &world{
+		now: time.Now(), received: map[string]position.Position{"p": at(100), "r1": at(90), "r2": at(95)},
+		failing: map[string]bool{}, paused: map[string]bool{},
+	}
+	w.memory = platformtest.NewMemory(func() time.Time { return w.now })
+	group := []*catalog.Server{
+		{ID: "p", Service: "x", Domain: "d0", Role: catalog.Primary},
+		{ID: "r1", Service: "x", Domain: "d1"}, {ID: "r2", Service: "x", Domain: "d2"},
+	}
+	w.snapshot = &catalog.Snapshot{
+		Config:    &catalog.Config{Services: map[string]*catalog.Service{"x": {Name: "x", SyncReplicas: sync}}},
+		Groups:    map[string][]*catalog.Server{"x": group},
+		Servers:   map[string]*catalog.Server{"p": group[0], "r1": group[1], "r2": group[2]},
+		Evacuated: map[string]bool{}, Complete: true,
+	}
+	for i := range hosts {
+		name := fmt.Sprintf("h%d", i)
+		lease, err := w.memory.GrantLease(context.Background(), time.Hour)
+		Expect(err).NotTo(HaveOccurred())
+		r := New(Options{
+			Host: name, Domain: fmt.Sprintf("d%d", i%domains), Store: w.memory,
+			Catalog: func() *catalog.Snapshot { return w.snapshot },
+			Lease:   func() (platform.LeaseID, time.Duration) { return lease, time.Hour },
+			Hosts:   func() (int, int) { return hosts, domains },
+			Orderer: w, Inspector: w, Failing: func(*catalog.Server) bool { return w.failing[name] },
+			Log: zap.NewNop(), Registry: metrics.NewRegistry(),
+		})
+		r.now = func() time.Time { return w.now }
+		w.hosts = append(w.hosts, r)
+	}
+	return w
+}
+
+// run lets every host take some steps, one after the other.
+func (w *world) run(steps int) {
+	for range steps {
+		for _, r := range w.hosts {
+			g := r.groups["x"]
+			if g == nil {
+				g = &group{}
+				r.groups["x"] = g
+			}
+			r.step(context.Background(), "x", g, w.snapshot)
+		}
+		w.now = w.now.Add(tickInterval)
+	}
+}
+
+var _ = Describe("Runner", func() {
+	// Guards against the loss of commits that a replica received, and against
+	// several hosts that order at the same time.
+	It("promotes the replica that received most, once", func() {
+		w := newWorld(9, 3, 0)
+		for i := range 5 {
+			w.failing[fmt.Sprintf("h%d", i)] = true
+		}
+		w.run(10)
+		Expect(w.orders).To(HaveLen(1))
+		Expect(w.orders[0].id).To(Equal("r2"))
+	})
+
+	// Guards against a failure domain that is cut off and replaces the
+	// primaries that all others still use.
+	DescribeTable("asks for a part of the hosts in two failure domains",
+		func(failing []int, promoted bool) {
+			w := newWorld(9, 3, 0)
+			for _, i := range failing {
+				w.failing[fmt.Sprintf("h%d", i)] = true
+			}
+			w.run(10)
+			Expect(len(w.orders) > 0).To(Equal(promoted))
+		},
+		Entry("one host", []int{0}, false),
+		Entry("two hosts", []int{0, 1}, false),
+		Entry("a whole domain", []int{0, 3, 6}, false),
+		Entry("a third in two domains", []int{0, 1, 3}, true),
+	)
+
+	// Guards against a primary that stays in a failure domain that operators
+	// evacuated, and against a candidate in the same domain.
+	It("moves the primary out of an evacuated failure domain", func() {
+		w := newWorld(3, 3, 0)
+		w.snapshot.Evacuated["d0"], w.snapshot.Evacuated["d2"] = true, true
+		w.run(3)
+		Expect(w.orders).NotTo(BeEmpty())
+		Expect(w.orders[0].id).To(Equal("r1"))
+	})
+
+	// Guards against a holder that goes on with a token that was refused.
+	It("takes a new token after an order was refused", func() {
+		w := newWorld(3, 3, 0)
+		w.snapshot.Servers["p"].Draining = true
+		w.answer = ErrSuperseded
+		w.run(30)
+		Expect(len(w.orders)).To(BeNumerically(">", 1))
+		for i := 1; i < len(w.orders); i++ {
+			Expect(w.orders[i].token).To(BeNumerically(">", w.orders[i-1].token))
+		}
+	})
+
+	// Guards against two targets under one token: an order without an answer
+	// may still be carried out.
+	It("orders another instance only with a higher token", func() {
+		w := newWorld(3, 3, 0)
+		w.snapshot.Servers["p"].Draining = true
+		w.answer = errors.New("no answer")
+		w.run(2)
+		Expect(w.orders).To(HaveLen(1))
+		w.received["r1"] = at(200)
+		w.run(60)
+		last := w.orders[len(w.orders)-1]
+		Expect(last.id).To(Equal("r1"))
+		Expect(last.token).To(BeNumerically(">", w.orders[0].token))
+	})
+
+	// Guards against a promotion that loses acknowledged commits where a
+	// replica confirms each: the one that confirmed may be the silent one.
+	It("waits for all replicas that may have confirmed a commit", func() {
+		w := newWorld(3, 3, 1)
+		w.snapshot.Servers["p"].Draining = true
+		delete(w.received, "r2")
+		w.run(10)
+		Expect(w.orders).To(BeEmpty())
+		Expect(w.paused).NotTo(HaveKey("r1"))
+		w.received["r2"] = at(95)
+		w.run(10)
+		Expect(w.orders).NotTo(BeEmpty())
+		Expect(w.orders[0].id).To(Equal("r2"))
+	})
+
+	// Guards against a service that stays without a primary when none is
+	// registered any more.
+	It("promotes when no primary has been registered for a while", func() {
+		w := newWorld(3, 3, 0)
+		w.snapshot.Servers["p"].Role = catalog.Replica
+		w.run(10)
+		Expect(w.orders).To(BeEmpty())
+		w.run(10)
+		Expect(w.orders).NotTo(BeEmpty())
+		Expect(w.orders[0].id).To(Equal("p"))
+	})
+})
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -59,10 +59,10 @@
 // Inspector asks instances how far they are.
 type Inspector interface {
 	// Status returns what an instance received.
-	Status(ctx context.Context, server *catalog.Server) (Report, error)
+	Status(ctx context.Context, server *catalog.Server) (Candidate, error)
 	// Pause stops a replica from receiving from primaries of terms below the
 	// next one, and returns what it received.
-	Pause(ctx context.Context, server *catalog.Server) (Report, error)
+	Pause(ctx context.Context, server *catalog.Server) (Candidate, error)
 	// Resume ends a pause.
 	Resume(ctx context.Context, server *catalog.Server) error
 }
@@ -128,7 +128,7 @@
 		case <-ticker.C:
 		}
 		snapshot := r.options.Catalog()
-		if snapshot.Config == nil {
+		if !snapshot.Complete {
 			continue
 		}
 		for service := range snapshot.Groups {
@@ -348,9 +348,9 @@
 
 // choose asks all candidates how far they are and returns the one that received
 // most.
-func (r *Runner) choose(ctx context.Context, service string, snapshot *catalog.Snapshot, primary *catalog.Server) (*Report, error) {
+func (r *Runner) choose(ctx context.Context, service string, snapshot *catalog.Snapshot, primary *catalog.Server) (*Candidate, error) {
 	sync := 0
-	if s := snapshot.Config.Services[service]; s != nil {
+	if s := snapshot.Service(service); s != nil {
 		sync = s.SyncReplicas
 	}
 	all := candidates(snapshot, service, primary)
@@ -373,7 +373,7 @@
 const inspectTimeout = 350 * time.Millisecond
 
 // inspect asks the candidates in parallel and returns those that answered.
-func (r *Runner) inspect(ctx context.Context, servers []*catalog.Server, pause bool) []Report {
+func (r *Runner) inspect(ctx context.Context, servers []*catalog.Server, pause bool) []Candidate {
 	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
 	defer cancel()
 	ask := r.options.Inspector.Status
@@ -381,7 +381,7 @@
 		ask = r.options.Inspector.Pause
 	}
 	var mu sync.Mutex
-	var reports []Report
+	var reports []Candidate
 	var group sync.WaitGroup
 	for _, server := range servers {
 		group.Go(func() {
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -177,6 +177,10 @@
 	if now.Sub(a.renewed) >= renewTime && (a.fraction > 0 || a.wish > 0) {
 		return true
 	}
+	if a.exhausted && a.wanted(0, now) > a.fraction {
+		// The others may have given something back.
+		return true
+	}
 	target := a.target(others, now)
 	return math.Abs(target-a.fraction) > changePart*max(a.fraction, floorPart/float64(max(1, a.hosts)))
 }
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,197 @@
+package quota
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/platform/platformtest"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "2000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestQuota(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quota")
+}
+
+// fleet is several limiters on one store and one clock.
+type fleet struct {
+	memory   *platformtest.Memory
+	now      time.Time
+	limiters []*Limiter
+	account  *catalog.Account
+}
+
+func newFleet(hosts int, rate float64) *fleet {
+	f := &fleet{now: time.Now(), account: &catalog.Account{Name: "a", Rate: rate, Burst: rate}}
+	f.memory = platformtest.NewMemory(func() time.Time { return f.now })
+	for i := range hosts {
+		f.limiters = append(f.limiters, f.start(fmt.Sprintf("host-%d", i), hosts))
+	}
+	return f
+}
+
+func (f *fleet) start(name string, hosts int) *Limiter {
+	l := NewLimiter(Options{
+		Host: name, Store: f.memory, Hosts: func() int { return hosts },
+		Accounts: func() map[string]*catalog.Account { return map[string]*catalog.Account{"a": f.account} },
+		Slack:    func() Slack { return Slack{Window: 5 * time.Second, Overshoot: 0.1, Operations: 20} },
+		Log:      zap.NewNop(), Registry: metrics.NewRegistry(),
+	})
+	l.now = func() time.Time { return f.now }
+	l.started = f.now
+	return l
+}
+
+// step advances the clock and lets every limiter that has a store look at its
+// holdings.
+func (f *fleet) step(d time.Duration, cut map[int]bool) {
+	f.now = f.now.Add(d)
+	for i, l := range f.limiters {
+		if cut[i] {
+			continue
+		}
+		if shards := l.due(); shards != 0 {
+			l.write(context.Background(), shards)
+		}
+	}
+}
+
+// admit asks a host for one operation without waiting.
+func (f *fleet) admit(i int) bool {
+	l := f.limiters[i]
+	a := l.account("a")
+	a.limit, a.hosts = l.limit(f.account), len(f.limiters)
+	return a.admit(f.now)
+}
+
+var _ = Describe("Limiter", func() {
+	// Guards against refusals within the rate when the demand of an account is
+	// on few hosts: equal parts refused 40% of it.
+	It("follows a demand that is uneven over hosts", func() {
+		f := newFleet(9, 40)
+		refused, asked := 0, 0
+		const settled = 1000 // ticks: 10 s, the time between the start of hosts and that of traffic
+		for tick := range 4000 {
+			f.step(10*time.Millisecond, nil)
+			// 25 operations/s: 16 on host 0, 8 on host 1, 1 elsewhere.
+			host := map[bool]int{true: 0, false: 1}[tick%6 != 2 && tick%6 != 5]
+			if tick%100 == 99 {
+				host = 5
+			}
+			if tick%4 != 0 {
+				continue
+			}
+			if tick > settled {
+				asked++
+				if !f.admit(host) {
+					refused++
+				}
+			} else {
+				f.admit(host)
+			}
+		}
+		Expect(asked).To(BeNumerically(">", 500))
+		Expect(float64(refused) / float64(asked)).To(BeNumerically("<", 0.001))
+	})
+
+	// Guards against an outage of the store that stops a host that holds a
+	// part of the limit.
+	It("goes on with its holding while the store is away", func() {
+		f := newFleet(3, 30)
+		for range 500 {
+			f.step(20*time.Millisecond, nil)
+			f.admit(0)
+		}
+		f.memory.SetFault(platformtest.Fault{Err: platform.ErrUnavailable})
+		admitted := 0
+		for range 100 {
+			f.step(100*time.Millisecond, nil)
+			if f.admit(0) {
+				admitted++
+			}
+		}
+		Expect(admitted).To(Equal(100))
+	})
+
+	// Guards against a limit that stays with a host that is gone.
+	It("takes the holding of a host that is gone", func() {
+		f := newFleet(2, 100)
+		for range 1000 {
+			f.step(10*time.Millisecond, nil)
+			f.admit(1)
+		}
+		Expect(f.limiters[1].account("a").fraction).To(BeNumerically(">", 0.3))
+		for range 4000 {
+			f.step(10*time.Millisecond, map[int]bool{1: true})
+			f.admit(0)
+		}
+		Expect(f.limiters[0].account("a").fraction).To(BeNumerically("~", 1-floorPart, 0.01))
+	})
+
+	// Guards against an entry of a damaged document that raises a limit.
+	It("refuses a fraction above the whole", func() {
+		_, err := decodeLedger([]byte(`{"a":{"h":{"fraction":1.5,"sequence":1}}}`))
+		Expect(err).To(MatchError(ContainSubstring(`account "a", host "h"`)))
+	})
+})
+
+// Guards against overuse: whatever hosts ask for, are cut off from the store,
+// lose answers or restart, the fleet stays within the limit and the slack in
+// every window.
+func TestFleetStaysWithinLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 4
+		rate := float64(rapid.IntRange(10, 80).Draw(t, "rate"))
+		f := newFleet(hosts, rate)
+		var admitted []time.Time
+		cut := map[int]bool{}
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			switch rapid.IntRange(0, 40).Draw(t, "event") {
+			case 0:
+				i := rapid.IntRange(0, hosts-1).Draw(t, "cut")
+				cut[i] = !cut[i]
+			case 1:
+				f.memory.SetFault(platformtest.Fault{LoseAnswers: rapid.Bool().Draw(t, "lose answers")})
+			}
+			f.step(50*time.Millisecond, cut)
+			for i := range hosts {
+				for range rapid.IntRange(0, 12).Draw(t, "arrivals") {
+					if f.admit(i) {
+						admitted = append(admitted, f.now)
+					}
+				}
+			}
+		}
+		allowed := (rate*5+rate)*1.1 + 20
+		for first, last := 0, 0; last < len(admitted); last++ {
+			for admitted[last].Sub(admitted[first]) > 5*time.Second {
+				first++
+			}
+			if count := float64(last - first + 1); count > allowed {
+				t.Fatalf("%v operations in 5 s, allowed are %v", count, allowed)
+			}
+		}
+	})
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -84,7 +84,7 @@
 // in the instance's failure domain share all but a reserve of its connections.
 func (r *Router) limit(snapshot *catalog.Snapshot, server *catalog.Server) connpool.Limit {
 	conns := defaultMaxConns
-	if s := snapshot.Config.Services[server.Service]; s != nil && s.MaxConns > 0 {
+	if s := snapshot.Service(server.Service); s != nil && s.MaxConns > 0 {
 		conns = s.MaxConns
 	}
 	holders := r.holders(server)
--- /dev/null
+++ b/internal/staleness/staleness_test.go
@@ -0,0 +1,87 @@
+package staleness
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/bramleylever/bramleylever/position"
+)
+
+func TestStaleness(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "staleness")
+}
+
+func at(term, lsn uint64) position.Position {
+	return position.Position{Term: position.Term{Epoch: term}, LSN: position.LSN(lsn)}
+}
+
+var _ = Describe("Bounds", func() {
+	start := time.Now()
+
+	// Guards against a read that is older than its route allows.
+	It("returns the oldest sample that is young enough", func() {
+		b := New()
+		for i := range 5 {
+			b.Add("x", start.Add(time.Duration(i)*time.Second), at(1, uint64(10*i)+1))
+		}
+		s, ok := b.At("x", start.Add(1500*time.Millisecond))
+		Expect(ok).To(BeTrue())
+		Expect(s.Position).To(Equal(at(1, 21)))
+		_, ok = b.At("x", start.Add(5*time.Second))
+		Expect(ok).To(BeFalse())
+	})
+
+	// Guards against a position that a promotion rolled back, which no instance
+	// ever reaches again.
+	It("drops the samples of an ended term", func() {
+		b := New()
+		b.Add("x", start, at(1, 500))
+		b.Add("x", start.Add(time.Second), at(2, 400))
+		s, ok := b.At("x", start)
+		Expect(ok).To(BeTrue())
+		Expect(s.Position).To(Equal(at(2, 400)))
+		Expect(b.Add("x", start.Add(2*time.Second), at(1, 600))).To(BeFalse())
+	})
+})
+
+// Guards against a bound that lacks a commit: in any order of answers, the
+// sample for a time covers every commit that was acknowledged before it.
+func TestSampleCoversAcknowledgedCommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New()
+		start := time.Now()
+		var now time.Duration
+		lsn := uint64(1)
+		type commit struct {
+			at  time.Duration
+			lsn uint64
+		}
+		var commits []commit
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond
+			if rapid.Bool().Draw(t, "commit") {
+				lsn++
+				commits = append(commits, commit{now, lsn})
+				continue
+			}
+			// The leader answers with its position at or after the request.
+			delay := time.Duration(rapid.IntRange(0, 300).Draw(t, "delay")) * time.Millisecond
+			b.Add("x", start.Add(now-delay), at(1, lsn))
+		}
+		age := time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * time.Millisecond
+		s, ok := b.At("x", start.Add(now-age))
+		if !ok {
+			return
+		}
+		for _, c := range commits {
+			if c.at < now-age && uint64(s.Position.LSN) < c.lsn {
+				t.Fatalf("sample %v lacks the commit %d acknowledged %v ago", s.Position, c.lsn, now-c.at)
+			}
+		}
+	})
+}
