--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -24,7 +24,7 @@
 const (
 	// fullPause is how long the pool opens no further connection after an
 	// instance reported that its limit is reached.
-	fullPause = 300 * time.Millisecond
+	fullPause = 60 * time.Millisecond
 	// sweepInterval is how often idle connections are looked at.
 	sweepInterval = 500 * time.Millisecond
 )
--- a/internal/connpool/work.go
+++ b/internal/connpool/work.go
@@ -83,7 +83,7 @@
 
 // Do implements Handle.
 func (l *local) Do(deadline time.Time, w Work) (Answer, error) {
-	answer, err := l.Conn.do(deadline, w)
+	answer, err := l.do(deadline, w)
 	answer.Use = l.pool.Use(l.Server)
 	return answer, err
 }
--- /dev/null
+++ b/internal/gateway/fake_test.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/connpool"
+	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/internal/statement"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// fakeGroup is a primary and its replicas. It implements connpool.Source.
+type fakeGroup struct {
+	mu        sync.Mutex
+	instances map[string]*fakeInstance
+	runs      []run
+}
+
+// run is a statement that an instance executed.
+type run struct {
+	instance string
+	id       string
+	kind     statement.Kind
+}
+
+type fakeInstance struct {
+	leads   bool
+	term    uint64
+	applied uint64
+	// fault is what the next main statements meet.
+	fault fault
+}
+
+type fault uint8
+
+const (
+	noFault fault = iota
+	unreachable
+	loseAnswer
+	breakBeforeSend
+	busy
+)
+
+func (i *fakeInstance) position() position.Position {
+	return position.Position{Term: position.Term{Epoch: i.term}, LSN: position.LSN(i.applied)}
+}
+
+// contains reports whether the log holds a position; an older term's positions
+// up to the present end count as shared.
+func (i *fakeInstance) contains(p position.Position) bool {
+	return p.Term.Epoch <= i.term && uint64(p.LSN) <= i.applied
+}
+
+type fakeHandle struct {
+	group *fakeGroup
+	id    string
+	tx    bool
+	plain bool
+	wrote uint64
+}
+
+func (g *fakeGroup) Acquire(_ context.Context, server *catalog.Server, _ string, _ connpool.Values) (connpool.Handle, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.instances[server.ID].fault == unreachable {
+		return nil, errors.New("connection refused")
+	}
+	return &fakeHandle{group: g, id: server.ID}, nil
+}
+
+func (g *fakeGroup) Use(*catalog.Server) int { return 0 }
+
+func (h *fakeHandle) Release() {}
+
+func (h *fakeHandle) Do(_ time.Time, w connpool.Work) (connpool.Answer, error) {
+	h.group.mu.Lock()
+	defer h.group.mu.Unlock()
+	in := h.group.instances[h.id]
+	var answer connpool.Answer
+	switch in.fault {
+	case unreachable:
+		return answer, fmt.Errorf("reset: %w", outcome.ErrNotRun)
+	case breakBeforeSend:
+		in.fault = noFault
+		return answer, fmt.Errorf("reset: %w", outcome.ErrNotRun)
+	}
+	if w.Begin != nil {
+		if refused := h.begin(in, w.Begin); refused != nil {
+			answer.Refused = refused
+			return answer, nil
+		}
+		answer.Began = in.position()
+	}
+	for i := range w.Statements {
+		result := h.execute(in, &w.Statements[i])
+		if in.fault == loseAnswer && w.Statements[i].Kind != statement.Rollback {
+			in.fault = noFault
+			return answer, errors.New("i/o timeout")
+		}
+		answer.Results = append(answer.Results, result)
+	}
+	return answer, nil
+}
+
+func (h *fakeHandle) begin(in *fakeInstance, st *statement.Statement) *statement.Result {
+	if !st.ReadOnly && !in.leads {
+		return &statement.Result{Code: statement.ReadOnly, State: statement.Idle, Position: in.position()}
+	}
+	if !in.contains(st.After) {
+		return &statement.Result{Code: statement.Lagging, State: statement.Idle, Position: in.position()}
+	}
+	h.tx, h.plain, h.wrote = true, !st.ReadOnly, 0
+	return nil
+}
+
+func (h *fakeHandle) execute(in *fakeInstance, st *statement.Statement) statement.Result {
+	refuse := func(code statement.Code) statement.Result {
+		state := statement.Idle
+		if h.tx {
+			state = statement.InFailed
+		}
+		return statement.Result{Code: code, State: state, Position: in.position()}
+	}
+	if in.fault == busy {
+		in.fault = noFault
+		return refuse(statement.Busy)
+	}
+	if !in.contains(st.After) {
+		return refuse(statement.Lagging)
+	}
+	lost := h.tx && h.plain && !in.leads && (st.Kind != statement.Commit || h.wrote > 0)
+	if st.Kind != statement.Rollback && (lost || st.Kind == statement.Write && !in.leads) {
+		return refuse(statement.ReadOnly)
+	}
+	h.group.runs = append(h.group.runs, run{h.id, st.ID, st.Kind})
+	return h.apply(in, st)
+}
+
+func (h *fakeHandle) apply(in *fakeInstance, st *statement.Statement) statement.Result {
+	result := statement.Result{Signature: h.id + "/" + st.ID, State: statement.Idle}
+	switch st.Kind {
+	case statement.Write:
+		if h.tx {
+			h.wrote++
+		} else {
+			in.applied++
+		}
+	case statement.Commit:
+		if h.wrote > 0 {
+			in.applied++
+		}
+		h.tx = false
+	case statement.Rollback:
+		h.tx = false
+	}
+	if h.tx {
+		result.State = statement.InTransaction
+	}
+	result.Position = in.position()
+	return result
+}
+
+// setting is a gateway before a fake group.
+type setting struct {
+	group    *fakeGroup
+	gateway  *Gateway
+	snapshot *catalog.Snapshot
+	now      time.Time
+	admit    bool
+}
+
+func (s *setting) Admit(*catalog.Account, time.Time) bool { return s.admit }
+
+const key = "the-key"
+
+func newSetting() *setting {
+	s := &setting{now: time.Now(), admit: true}
+	s.group = &fakeGroup{instances: map[string]*fakeInstance{
+		"p": {leads: true, term: 1, applied: 100}, "r1": {term: 1, applied: 90}, "r2": {term: 1, applied: 90},
+	}}
+	account := &catalog.Account{Name: "account"}
+	route := func(name string, c catalog.Consistency) *catalog.Route {
+		return &catalog.Route{
+			Database: name, Service: "x", Consistency: c, MaxStaleness: time.Second, Timeout: 300 * time.Millisecond,
+		}
+	}
+	servers := []*catalog.Server{
+		{ID: "p", Service: "x", Domain: "d0", Role: catalog.Primary, Slots: 3, RoleRevision: 1},
+		{ID: "r1", Service: "x", Domain: "d1", Slots: 3}, {ID: "r2", Service: "x", Domain: "d2", Slots: 3},
+	}
+	s.snapshot = &catalog.Snapshot{
+		Config: &catalog.Config{
+			Version: 1, Keys: map[string]*catalog.Account{key: account},
+			Routes: map[string]*catalog.Route{
+				"strong": route("strong", catalog.Strong), "bounded": route("bounded", catalog.BoundedStaleness),
+				"own": route("own", catalog.ReadYourWrites),
+			},
+		},
+		Groups:    map[string][]*catalog.Server{"x": servers},
+		Servers:   map[string]*catalog.Server{"p": servers[0], "r1": servers[1], "r2": servers[2]},
+		Evacuated: map[string]bool{}, Complete: true,
+	}
+	s.gateway = New(Options{
+		Catalog: func() *catalog.Snapshot { return s.snapshot }, Changed: func() <-chan struct{} { return nil },
+		Conns: s.group, Admission: s, Domain: "d1", Log: zap.NewNop(), Registry: metrics.NewRegistry(),
+	})
+	return s
+}
+
+// session opens a session on a database.
+func (s *setting) session(database string) *Session {
+	session, result := s.gateway.Open(database, key, func() {})
+	if session == nil {
+		panic("session refused: " + result.Detail)
+	}
+	return session
+}
+
+// statements of the tests.
+func read(id string) statement.Statement {
+	return statement.Statement{ID: id, Kind: statement.Read, Text: "READ a"}
+}
+
+func write(id string) statement.Statement {
+	return statement.Statement{ID: id, Kind: statement.Write, Text: "WRITE a b"}
+}
+
+func simple(id string, kind statement.Kind) statement.Statement {
+	return statement.Statement{ID: id, Kind: kind}
+}
+
+// handle runs a statement that arrives now.
+func (s *Session) handle(st statement.Statement) statement.Result {
+	result, _ := s.Handle(st, time.Now())
+	return result
+}
+
+// runsOf returns the instances at which a request ran.
+func (g *fakeGroup) runsOf(id string) []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []string
+	for _, r := range g.runs {
+		if r.id == id {
+			out = append(out, r.instance)
+		}
+	}
+	return out
+}
+
+// set changes an instance.
+func (g *fakeGroup) set(id string, change func(*fakeInstance)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change(g.instances[id])
+}
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -83,7 +83,10 @@
 	return nil
 }
 
-func newWorld(hosts, domains, sync int) *world {
+// domains is the number of failure domains of a world.
+const domains = 3
+
+func newWorld(hosts, sync int) *world {
 	w := &world{
 		now: time.Now(), received: map[string]position.Position{"p": at(100), "r1": at(90), "r2": at(95)},
 		failing: map[string]bool{}, paused: map[string]bool{},
@@ -136,7 +139,7 @@
 	// Guards against the loss of commits that a replica received, and against
 	// several hosts that order at the same time.
 	It("promotes the replica that received most, once", func() {
-		w := newWorld(9, 3, 0)
+		w := newWorld(9, 0)
 		for i := range 5 {
 			w.failing[fmt.Sprintf("h%d", i)] = true
 		}
@@ -149,7 +152,7 @@
 	// primaries that all others still use.
 	DescribeTable("asks for a part of the hosts in two failure domains",
 		func(failing []int, promoted bool) {
-			w := newWorld(9, 3, 0)
+			w := newWorld(9, 0)
 			for _, i := range failing {
 				w.failing[fmt.Sprintf("h%d", i)] = true
 			}
@@ -165,7 +168,7 @@
 	// Guards against a primary that stays in a failure domain that operators
 	// evacuated, and against a candidate in the same domain.
 	It("moves the primary out of an evacuated failure domain", func() {
-		w := newWorld(3, 3, 0)
+		w := newWorld(3, 0)
 		w.snapshot.Evacuated["d0"], w.snapshot.Evacuated["d2"] = true, true
 		w.run(3)
 		Expect(w.orders).NotTo(BeEmpty())
@@ -174,7 +177,7 @@
 
 	// Guards against a holder that goes on with a token that was refused.
 	It("takes a new token after an order was refused", func() {
-		w := newWorld(3, 3, 0)
+		w := newWorld(3, 0)
 		w.snapshot.Servers["p"].Draining = true
 		w.answer = ErrSuperseded
 		w.run(30)
@@ -187,7 +190,7 @@
 	// Guards against two targets under one token: an order without an answer
 	// may still be carried out.
 	It("orders another instance only with a higher token", func() {
-		w := newWorld(3, 3, 0)
+		w := newWorld(3, 0)
 		w.snapshot.Servers["p"].Draining = true
 		w.answer = errors.New("no answer")
 		w.run(2)
@@ -202,7 +205,7 @@
 	// Guards against a promotion that loses acknowledged commits where a
 	// replica confirms each: the one that confirmed may be the silent one.
 	It("waits for all replicas that may have confirmed a commit", func() {
-		w := newWorld(3, 3, 1)
+		w := newWorld(3, 1)
 		w.snapshot.Servers["p"].Draining = true
 		delete(w.received, "r2")
 		w.run(10)
@@ -217,7 +220,7 @@
 	// Guards against a service that stays without a primary when none is
 	// registered any more.
 	It("promotes when no primary has been registered for a while", func() {
-		w := newWorld(3, 3, 0)
+		w := newWorld(3, 0)
 		w.snapshot.Servers["p"].Role = catalog.Replica
 		w.run(10)
 		Expect(w.orders).To(BeEmpty())
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -211,8 +211,6 @@
 // shardSet is a set of shards, one bit each.
 type shardSet uint64
 
-const allShards shardSet = 1<<shardCount - 1
-
 func (s shardSet) has(shard int) bool { return s&(1<<shard) != 0 }
 
 // due returns the shards to write: now and then those with a holding that is
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,221 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/connpool"
+	"github.com/bramleylever/bramleylever/internal/hosts"
+	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/internal/peer"
+	"github.com/bramleylever/bramleylever/internal/statement"
+)
+
+func TestRelay(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "relay")
+}
+
+// echo is a link that answers with the statement's text and the host at which
+// it runs.
+type echo struct {
+	host string
+	err  error
+	mu   *sync.Mutex
+	runs *[]string
+}
+
+func (e *echo) Exchange(_ time.Time, statements ...statement.Statement) ([]statement.Result, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.err != nil {
+		return nil, e.err
+	}
+	var results []statement.Result
+	for _, s := range statements {
+		*e.runs = append(*e.runs, e.host+" "+s.Kind.String())
+		state := statement.Idle
+		if s.Kind == statement.Begin {
+			state = statement.InTransaction
+		}
+		results = append(results, statement.Result{Rows: []string{s.Text}, Signature: e.host, State: state})
+	}
+	return results, nil
+}
+
+func (e *echo) Alive() bool { return true }
+func (e *echo) Close()      {}
+
+// fleet is hosts in two failure domains with one instance in the first.
+type fleet struct {
+	mu      sync.Mutex
+	runs    []string
+	links   map[string][]*echo
+	hosts   []hosts.Host
+	routers []*Router
+	servers []*peer.Server
+	dialErr error
+	linkErr error
+}
+
+type dialer struct {
+	fleet *fleet
+	host  string
+}
+
+func (d dialer) Dial(context.Context, *catalog.Server, string) (connpool.Link, error) {
+	d.fleet.mu.Lock()
+	defer d.fleet.mu.Unlock()
+	if d.fleet.dialErr != nil {
+		return nil, d.fleet.dialErr
+	}
+	e := &echo{host: d.host, mu: &d.fleet.mu, runs: &d.fleet.runs, err: d.fleet.linkErr}
+	d.fleet.links[d.host] = append(d.fleet.links[d.host], e)
+	return e, nil
+}
+
+var server = &catalog.Server{ID: "i1", Service: "x", Domain: "d0", Started: 7}
+
+func newFleet() *fleet {
+	f := &fleet{links: map[string][]*echo{}}
+	snapshot := &catalog.Snapshot{
+		Config: &catalog.Config{}, Servers: map[string]*catalog.Server{"i1": server}, Complete: true,
+	}
+	for i := range 4 {
+		name := fmt.Sprintf("h%d", i)
+		registry := metrics.NewRegistry()
+		listener, err := peer.Listen("127.0.0.1:0", registry)
+		Expect(err).NotTo(HaveOccurred())
+		peers := peer.NewPool()
+		r := NewRouter(Options{
+			Self:  name,
+			Pool:  connpool.New(connpool.Config{Dialer: dialer{f, name}, IdleTime: time.Minute, Registry: registry}),
+			Peers: peers, Hosts: func() []hosts.Host { return f.hosts },
+			Catalog: func() *catalog.Snapshot { return snapshot }, Log: zap.NewNop(), Registry: registry,
+		})
+		r.Register(listener)
+		go func() { _ = listener.Serve() }()
+		f.hosts = append(f.hosts, hosts.Host{Name: name, Domain: fmt.Sprintf("d%d", i/2), Address: listener.Address()})
+		f.routers = append(f.routers, r)
+		f.servers = append(f.servers, listener)
+		DeferCleanup(func() { listener.Stop(); Expect(peers.Close()).To(Succeed()) })
+	}
+	return f
+}
+
+// use returns the connections in use at all holders.
+func (f *fleet) use() int {
+	sum := 0
+	for _, r := range f.routers {
+		sum += r.options.Pool.Use(server)
+	}
+	return sum
+}
+
+// do runs one read for an account from a host and returns where it ran.
+func (f *fleet) do(from int, account string) (string, error) {
+	h, err := f.routers[from].Acquire(context.Background(), server, account, nil)
+	if err != nil {
+		return "", err
+	}
+	defer h.Release()
+	st := statement.Statement{ID: "q", Kind: statement.Read, Text: "READ a"}
+	answer, err := h.Do(time.Now().Add(time.Second), connpool.Work{Statements: []statement.Statement{st}})
+	if err != nil {
+		return "", err
+	}
+	Expect(answer.Results[0].Rows).To(Equal([]string{"READ a"}))
+	return answer.Results[0].Signature, nil
+}
+
+var _ = Describe("Router", func() {
+	// Guards against every host keeping connections of its own: an instance
+	// accepts 22, which 9 hosts with 8 accounts exceeded many times over.
+	It("leads an account's work from all hosts to one holder near the instance", func() {
+		f := newFleet()
+		for _, account := range []string{"a", "b", "c", "d"} {
+			holders := map[string]bool{}
+			for from := range 4 {
+				at, err := f.do(from, account)
+				Expect(err).NotTo(HaveOccurred())
+				holders[at] = true
+				Eventually(f.use).Should(BeZero())
+			}
+			Expect(holders).To(HaveLen(1))
+			Expect(holders).To(Or(HaveKey("h0"), HaveKey("h1")))
+		}
+		dials := len(f.links["h0"]) + len(f.links["h1"])
+		Expect(dials).To(Equal(4))
+	})
+
+	// Guards against an account without service because its holder is gone.
+	It("turns to another host when the holder is gone", func() {
+		f := newFleet()
+		at, err := f.do(2, "a")
+		Expect(err).NotTo(HaveOccurred())
+		f.servers[map[string]int{"h0": 0, "h1": 1}[at]].Stop()
+		Eventually(func() error {
+			other, err := f.do(2, "a")
+			if err == nil && other == at {
+				return errors.New("still at the stopped holder")
+			}
+			return err
+		}, 3*time.Second).Should(Succeed())
+	})
+
+	// Guards against new leases at a host that is about to exit.
+	It("turns away from a holder that leaves, and nothing has run there", func() {
+		f := newFleet()
+		at, err := f.do(2, "a")
+		Expect(err).NotTo(HaveOccurred())
+		f.routers[map[string]int{"h0": 0, "h1": 1}[at]].Leave()
+		_, err = f.do(2, "a")
+		Expect(err).To(MatchError(outcome.ErrNotRun))
+		other, err := f.do(2, "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(other).NotTo(Equal(at))
+	})
+
+	// Guards against a refusal of the instance that counts as its failure, and
+	// against "not run" for work that may have run.
+	It("carries refusals and unknown outcomes over", func() {
+		f := newFleet()
+		f.dialErr = &connpool.Refusal{Code: statement.MaxConns, Detail: "full"}
+		_, err := f.do(2, "a")
+		var refusal *connpool.Refusal
+		Expect(errors.As(err, &refusal)).To(BeTrue())
+		Expect(refusal.Code).To(Equal(statement.MaxConns))
+		f.dialErr, f.linkErr = nil, errors.New("reset")
+		Eventually(func() bool {
+			_, err = f.do(2, "a")
+			return outcome.RetrySafe(err)
+		}).Should(BeFalse())
+		Expect(err).To(HaveOccurred())
+	})
+
+	// Guards against the statements of a transaction on several connections.
+	It("keeps a transaction on one connection until it is released", func() {
+		f := newFleet()
+		h, err := f.routers[2].Acquire(context.Background(), server, "a", nil)
+		Expect(err).NotTo(HaveOccurred())
+		deadline := time.Now().Add(time.Second)
+		_, err = h.Do(deadline, connpool.Work{Begin: &statement.Statement{Kind: statement.Begin}})
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.do(3, "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(f.links["h0"]) + len(f.links["h1"])).To(Equal(2))
+		h.Release()
+		Eventually(f.use).Should(BeZero())
+	})
+})
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -128,4 +128,4 @@
 }
 
 // Succeeded reports whether the statement ran without an error.
-func (r *Result) Succeeded() bool { return r.Code == OK }
+func (r Result) Succeeded() bool { return r.Code == OK }
