--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -21,6 +21,7 @@
 	"github.com/bramleylever/bramleylever/internal/platform"
 	"github.com/bramleylever/bramleylever/internal/promotion"
 	"github.com/bramleylever/bramleylever/internal/quota"
+	"github.com/bramleylever/bramleylever/internal/reach"
 	"github.com/bramleylever/bramleylever/internal/relay"
 )
 
@@ -70,7 +71,9 @@
 	options Options
 	log     *zap.Logger
 	ready   atomic.Bool
-	current atomic.Pointer[Reloadable]
+	// isolated is set while no other failure domain answers.
+	isolated atomic.Bool
+	current  atomic.Pointer[Reloadable]
 }
 
 // New returns a daemon that does nothing until Run is called.
@@ -92,14 +95,15 @@
 
 	follower := catalog.NewFollower(o.Store, o.Layout, d.log)
 	registry := hosts.New(hosts.Host{Name: o.Host, Domain: o.Domain, Address: o.PeerAddress}, o.Store, d.log)
+	peers := peer.NewPool()
+	defer func() { _ = peers.Close() }()
 	limiter := quota.NewLimiter(quota.Options{
 		Host: o.Host, Store: o.Store, Hosts: registry.Count, Log: d.log,
 		Slack: func() quota.Slack { return d.current.Load().Slack }, Registry: o.Registry,
+		Peers: registry.Hosts, Lender: quota.PeerLender{Peers: peers},
 		Accounts: func() map[string]*catalog.Account { return accounts(follower.Snapshot()) },
 	})
 	pool := connpool.New(connpool.Config{Dialer: o.Dialer, IdleTime: idleTime, Registry: o.Registry})
-	peers := peer.NewPool()
-	defer func() { _ = peers.Close() }()
 	router := relay.NewRouter(relay.Options{
 		Self: o.Host, Pool: pool, Peers: peers, Hosts: registry.Hosts, Catalog: follower.Snapshot,
 		Log: d.log, Registry: o.Registry,
@@ -109,15 +113,17 @@
 		return err
 	}
 	router.Register(server)
+	limiter.Register(server)
 	go func() {
 		if err := server.Serve(); err != nil {
 			d.log.Error("peer server ended", zap.Error(err))
 		}
 	}()
 	defer server.Stop()
+	tracker := reach.New(o.Domain)
 	g := gateway.New(gateway.Options{
 		Catalog: follower.Snapshot, Changed: follower.Changed, Conns: router, Admission: limiter,
-		Domain: o.Domain, Log: d.log, Registry: o.Registry,
+		Domain: o.Domain, Reach: tracker, Log: d.log, Registry: o.Registry,
 	})
 
 	promoter := promotion.New(promotion.Options{
@@ -126,7 +132,7 @@
 		Failing: g.Failing, Log: d.log, Registry: o.Registry,
 	})
 
-	readiness, err := o.ServeReadiness(d.ready.Load)
+	readiness, err := o.ServeReadiness(func() bool { return d.ready.Load() && !d.isolated.Load() })
 	if err != nil {
 		return fmt.Errorf("serve readiness: %w", err)
 	}
@@ -146,7 +152,9 @@
 		defer close(registered)
 		registry.Run(ctx)
 	}()
+	go d.watchReach(background, tracker, g, registry.Hosts, quota.PeerLender{Peers: peers})
 	if follower.WaitReady(ctx) == nil {
+		limiter.WaitAdopted(ctx)
 		d.ready.Store(true)
 		d.log.Info("ready", zap.Int64("config_version", follower.Snapshot().Config.Version))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/connpool"
+	"github.com/bramleylever/bramleylever/internal/reach"
 	"github.com/bramleylever/bramleylever/internal/staleness"
 )
 
@@ -31,7 +32,9 @@
 	Conns     connpool.Source
 	Admission Admission
 	// Domain is the host's failure domain.
-	Domain   string
+	Domain string
+	// Reach learns which failure domains answer.
+	Reach    *reach.Tracker
 	Log      *zap.Logger
 	Registry metrics.Registry
 }
@@ -54,7 +57,7 @@
 // New returns a gateway without sessions.
 func New(o Options) *Gateway {
 	return &Gateway{
-		options: o, log: o.Log, bounds: staleness.New(), health: newHealth(),
+		options: o, log: o.Log, bounds: staleness.New(), health: newHealth(o.Reach),
 		stats: newStats(o.Registry), now: time.Now, sessions: map[*Session]struct{}{},
 	}
 }
@@ -70,6 +73,12 @@
 // sessions are closed once they are idle.
 func (g *Gateway) Drain() {
 	g.draining.Store(true)
+	g.CloseIdle()
+}
+
+// CloseIdle closes the sessions that are between operations, so that their
+// callers connect to other hosts.
+func (g *Gateway) CloseIdle() {
 	g.mu.Lock()
 	sessions := make([]*Session, 0, len(g.sessions))
 	for s := range g.sessions {
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/reach"
 	"github.com/bramleylever/bramleylever/position"
 )
 
@@ -51,13 +52,14 @@
 
 // health keeps what answers tell about instances.
 type health struct {
+	reach     *reach.Tracker
 	mu        sync.Mutex
 	instances map[string]*instanceHealth
 	leaders   map[string]leader
 }
 
-func newHealth() *health {
-	return &health{instances: map[string]*instanceHealth{}, leaders: map[string]leader{}}
+func newHealth(tracker *reach.Tracker) *health {
+	return &health{reach: tracker, instances: map[string]*instanceHealth{}, leaders: map[string]leader{}}
 }
 
 func (h *health) get(server *catalog.Server) *instanceHealth {
@@ -71,6 +73,7 @@
 
 // answered records an answer that took the given time.
 func (h *health) answered(server *catalog.Server, took time.Duration, p position.Position, now time.Time) {
+	h.reach.Reached(server.Domain)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	in := h.get(server)
@@ -86,6 +89,7 @@
 
 // failed records a connection that broke, was refused or stayed silent.
 func (h *health) failed(server *catalog.Server, now time.Time) {
+	h.reach.Failed(server.Domain)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	in := h.get(server)
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -70,10 +70,15 @@
 	// exhausted that the last write found the limit used up.
 	short     bool
 	exhausted bool
+
+	// holdings is what the hosts held when the record was last seen, and empty
+	// holds until when a host has no token to lend.
+	holdings map[string]holding
+	empty    map[string]time.Time
 }
 
 func newAccount(now time.Time) *account {
-	return &account{updated: now, demandedAt: now, level: initialTokens}
+	return &account{updated: now, demandedAt: now, level: initialTokens, empty: map[string]time.Time{}}
 }
 
 // initialTokens is what a host that has just started may admit at once.
--- /dev/null
+++ b/internal/quota/borrow.go
@@ -0,0 +1,126 @@
+package quota
+
+import (
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"google.golang.org/grpc"
+
+	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/hosts"
+	"github.com/bramleylever/bramleylever/internal/peer"
+)
+
+const (
+	// borrowTries bounds the hosts that are asked for one operation.
+	borrowTries = 3
+	// borrowTimeout bounds one call.
+	borrowTimeout = 40 * time.Millisecond
+	// emptyTime is how long a host that did not answer is not asked again.
+	emptyTime = 500 * time.Millisecond
+)
+
+// Lender asks other hosts for tokens.
+type Lender interface {
+	// Borrow takes one token of an account from a host. If there is none, wait
+	// is when the host has one.
+	Borrow(ctx context.Context, host hosts.Host, account string) (granted bool, wait time.Duration, err error)
+}
+
+// PeerLender is the Lender over gRPC.
+type PeerLender struct{ Peers *peer.Pool }
+
+// Borrow implements Lender.
+func (p PeerLender) Borrow(ctx context.Context, host hosts.Host, account string) (bool, time.Duration, error) {
+	conn, err := p.Peers.Conn(host.Address)
+	if err != nil {
+		return false, 0, err
+	}
+	reply, err := peerv1.NewQuotaClient(conn).Borrow(ctx, &peerv1.BorrowTokenRequest{Account: account})
+	if err != nil {
+		return false, 0, err
+	}
+	return reply.GetGranted(), time.Duration(reply.GetWaitMs()) * time.Millisecond, nil
+}
+
+// Register lends tokens to other hosts on a gRPC server.
+func (l *Limiter) Register(s grpc.ServiceRegistrar) {
+	peerv1.RegisterQuotaServer(s, lending{limiter: l})
+}
+
+type lending struct {
+	peerv1.UnimplementedQuotaServer
+	limiter *Limiter
+}
+
+// Borrow implements the gRPC service.
+func (s lending) Borrow(_ context.Context, request *peerv1.BorrowTokenRequest) (*peerv1.BorrowTokenReply, error) {
+	granted, wait := s.limiter.lend(request.GetAccount())
+	return &peerv1.BorrowTokenReply{Granted: granted, WaitMs: wait.Milliseconds()}, nil
+}
+
+// lend gives one token of this host's part away. Only accounts that the
+// configuration in force names have any.
+func (l *Limiter) lend(name string) (bool, time.Duration) {
+	c := l.options.Accounts()[name]
+	if c == nil {
+		return false, emptyTime
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(name)
+	a.limit, a.hosts = l.limit(c), l.options.Hosts()
+	now := l.now()
+	a.refill(now)
+	if a.level < 1 {
+		return false, max(minWait, a.wait(now))
+	}
+	a.level--
+	return true, 0
+}
+
+// minWait keeps hosts without tokens from being asked for every operation.
+const minWait = 10 * time.Millisecond
+
+// borrow takes a token from a host that may have one.
+func (l *Limiter) borrow(name string) bool {
+	for _, host := range l.lenders(name) {
+		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+		granted, wait, err := l.options.Lender.Borrow(ctx, host, name)
+		cancel()
+		if granted {
+			l.borrowed.Inc(1)
+			return true
+		}
+		if err != nil {
+			wait = emptyTime
+		}
+		l.mu.Lock()
+		l.account(name).empty[host.Name] = l.now().Add(wait)
+		l.mu.Unlock()
+	}
+	return false
+}
+
+// lenders returns the hosts to ask: those that may have a token, the largest
+// holders first.
+func (l *Limiter) lenders(name string) []hosts.Host {
+	all := l.options.Peers()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(name)
+	now := l.now()
+	holdings := a.holdings
+	var out []hosts.Host
+	for _, h := range all {
+		if h.Name != l.options.Host && h.Address != "" && !now.Before(a.empty[h.Name]) {
+			out = append(out, h)
+		}
+	}
+	slices.SortFunc(out, func(x, y hosts.Host) int {
+		return int(math.Copysign(1, holdings[y.Name].Fraction-holdings[x.Name].Fraction))
+	})
+	return out[:min(borrowTries, len(out))]
+}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/platform"
 )
@@ -35,7 +36,7 @@
 	// writeTries bounds the attempts of one write against other hosts.
 	writeTries = 6
 	// maxWait is how long an operation waits for a token before it is refused.
-	maxWait = 120 * time.Millisecond
+	maxWait = 40 * time.Millisecond
 	// slackPart is the part of the accepted slack that is used; the rest covers
 	// operations that change hosts while fractions move.
 	slackPart = 0.8
@@ -57,6 +58,9 @@
 	// Accounts returns the accounts of the configuration in force.
 	Accounts func() map[string]*catalog.Account
 	Slack    func() Slack
+	// Peers returns the other hosts, and Lender asks them for tokens.
+	Peers    func() []hosts.Host
+	Lender   Lender
 	Log      *zap.Logger
 	Registry metrics.Registry
 }
@@ -67,6 +71,8 @@
 	now      func() time.Time
 	writes   metrics.Counter
 	refusals metrics.Counter
+	borrowed metrics.Counter
+	adopted  chan struct{}
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -84,10 +90,11 @@
 
 // NewLimiter returns a limiter without holdings.
 func NewLimiter(o Options) *Limiter {
-	l := &Limiter{options: o, now: time.Now, accounts: map[string]*account{}, sightings: sightings{}}
+	l := &Limiter{options: o, now: time.Now, accounts: map[string]*account{}, sightings: sightings{}, adopted: make(chan struct{})}
 	l.started = l.now()
 	l.writes = metrics.GetOrRegisterCounter("quota.writes_count", o.Registry)
 	l.refusals = metrics.GetOrRegisterCounter("quota.refusals_count", o.Registry)
+	l.borrowed = metrics.GetOrRegisterCounter("quota.borrowed_count", o.Registry)
 	for i := range l.ledgers {
 		l.ledgers[i] = ledger{}
 	}
@@ -110,8 +117,8 @@
 	return limit{rate: c.Rate, burst: c.Burst, slack: slackPart * beyond}
 }
 
-// Admit takes one token for an operation of the account and waits for it if it
-// comes soon. It reports false if the limit is reached.
+// Admit takes one token for an operation of the account, borrows it from another
+// host if this one has none, and waits for it if it comes soon. It reports false if the limit is reached.
 func (l *Limiter) Admit(c *catalog.Account, now time.Time) bool {
 	if c.Rate <= 0 {
 		return true
@@ -122,7 +129,7 @@
 	admitted := a.admit(now)
 	wait := a.wait(now)
 	l.mu.Unlock()
-	if admitted {
+	if admitted || l.borrow(c.Name) {
 		return true
 	}
 	if wait <= maxWait {
@@ -154,6 +161,7 @@
 // Run keeps the holdings in step with the demand until ctx ends.
 func (l *Limiter) Run(ctx context.Context) {
 	l.adopt(ctx)
+	close(l.adopted)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -168,6 +176,15 @@
 	}
 }
 
+// WaitAdopted waits until the holdings of an earlier incarnation of this host
+// were read, or could not be.
+func (l *Limiter) WaitAdopted(ctx context.Context) {
+	select {
+	case <-l.adopted:
+	case <-ctx.Done():
+	}
+}
+
 // adopt reads the holdings that an earlier incarnation of this host left.
 func (l *Limiter) adopt(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -206,6 +223,13 @@
 		return
 	}
 	l.ledgers[shard], l.revisions[shard] = decoded, kv.ModRevision
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, a := range l.accounts {
+		if shardOf(name) == shard {
+			a.holdings = decoded[name]
+		}
+	}
 }
 
 // shardSet is a set of shards, one bit each.
