--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -113,6 +113,15 @@
 	RoleRevision int64
 	// Lapsed is when the entry disappeared; zero while it is present.
 	Lapsed time.Time
+	// DrainedAt is when a draining server must not get work any more; zero if it
+	// is not draining.
+	DrainedAt time.Time
+}
+
+// Drained reports whether the server must not get any work, not even as the
+// only one that can run it.
+func (s *Server) Drained(now time.Time) bool {
+	return !s.DrainedAt.IsZero() && !now.Before(s.DrainedAt)
 }
 
 // Snapshot is an immutable view of the catalog.
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -40,8 +40,10 @@
 type Follower struct {
 	store  platform.Store
 	layout Layout
-	log    *zap.Logger
-	now    func() time.Time
+	// drainTime is how long a draining server may still get work.
+	drainTime func() time.Duration
+	log       *zap.Logger
+	now       func() time.Time
 
 	current atomic.Pointer[Snapshot]
 
@@ -50,10 +52,11 @@
 	changed chan struct{}
 }
 
-// NewFollower returns a follower; Run starts it.
-func NewFollower(store platform.Store, layout Layout, log *zap.Logger) *Follower {
+// NewFollower returns a follower; Run starts it. drainTime is how long a server
+// may get work after it announced that it leaves.
+func NewFollower(store platform.Store, layout Layout, drainTime func() time.Duration, log *zap.Logger) *Follower {
 	f := &Follower{
-		store: store, layout: layout, log: log, now: time.Now,
+		store: store, layout: layout, drainTime: drainTime, log: log, now: time.Now,
 		view: newView(), changed: make(chan struct{}),
 	}
 	f.current.Store(f.view.snapshot())
@@ -274,7 +277,7 @@
 	}
 	server.Revision = event.ModRevision
 	f.logServer(&server)
-	f.view.putServer(server)
+	f.view.putServer(server, f.drainTime(), f.now())
 }
 
 // logServer writes a line for a registration that changes where work goes.
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -49,10 +49,26 @@
 	return true
 }
 
-// putServer takes a registration over.
-func (v *view) putServer(server Server) {
+// drainMargin is kept from the time for which a draining server may get work,
+// because a host learns of the announcement a little after it was accepted.
+const drainMargin = 750 * time.Millisecond
+
+// putServer takes a registration over. A server that is draining when it is
+// seen for the first time may have been so for long.
+func (v *view) putServer(server Server, drainTime time.Duration, now time.Time) {
 	server.RoleRevision = server.Revision
-	if old := v.servers[server.ID]; old != nil {
+	old := v.servers[server.ID]
+	if server.Draining {
+		server.DrainedAt = now
+		switch {
+		case old == nil:
+		case old.Draining:
+			server.DrainedAt = old.DrainedAt
+		default:
+			server.DrainedAt = now.Add(drainTime - drainMargin)
+		}
+	}
+	if old != nil {
 		if server.Revision < old.Revision {
 			return
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -43,6 +43,9 @@
 	Grace time.Duration
 	// Slack is what the users accept beyond a client account's limit.
 	Slack quota.Slack
+	// DrainTime is how long after it announced its leaving a backend server may
+	// still get work.
+	DrainTime time.Duration
 }
 
 // Options configures a daemon. The functions are the codecs of a platform.
@@ -83,6 +86,9 @@
 	return d
 }
 
+// Settings returns the settings in force.
+func (d *Daemon) Settings() Reloadable { return *d.current.Load() }
+
 // Reload takes changed settings over.
 func (d *Daemon) Reload(r Reloadable) { d.current.Store(&r) }
 
@@ -93,13 +99,13 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 
-	follower := catalog.NewFollower(o.Store, o.Layout, d.log)
+	follower := catalog.NewFollower(o.Store, o.Layout, func() time.Duration { return d.Settings().DrainTime }, d.log)
 	registry := hosts.New(hosts.Host{Name: o.Host, Domain: o.Domain, Address: o.PeerAddress}, o.Store, d.log)
 	peers := peer.NewPool()
 	defer func() { _ = peers.Close() }()
 	limiter := quota.NewLimiter(quota.Options{
 		Host: o.Host, Store: o.Store, Hosts: registry.Count, Log: d.log,
-		Slack: func() quota.Slack { return d.current.Load().Slack }, Registry: o.Registry,
+		Slack: func() quota.Slack { return d.Settings().Slack }, Registry: o.Registry,
 		Peers: registry.Hosts, Lender: quota.PeerLender{Peers: peers},
 		Accounts: func() map[string]*catalog.Account { return accounts(follower.Snapshot()) },
 	})
@@ -175,14 +181,14 @@
 // keep reports whether connections to a server stay open.
 func keep(snapshot *catalog.Snapshot, server *catalog.Server) bool {
 	current := snapshot.Servers[server.ID]
-	return current != nil && current.Started == server.Started && snapshot.Usable(current)
+	return current != nil && current.Started == server.Started && !current.Drained(time.Now()) && !snapshot.Evacuated[current.Domain]
 }
 
 // drain stops the host: it turns not ready, waits until no more callers are
 // sent to it, then closes idle sessions and waits for open transactions.
 func (d *Daemon) drain(g *gateway.Gateway) {
 	started := time.Now()
-	grace := d.current.Load().Grace
+	grace := d.Settings().Grace
 	d.ready.Store(false)
 	d.log.Info("stop", zap.Int("sessions", g.Sessions()))
 	time.Sleep(min(removalTime, grace/3))
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -48,7 +48,7 @@
 	defer g.health.mu.Unlock()
 	usable := func(server *catalog.Server) bool {
 		in := g.health.get(server)
-		return server != nil && !snapshot.Evacuated[server.Domain] && !tried[server.ID] &&
+		return !snapshot.Evacuated[server.Domain] && !server.Drained(now) && !tried[server.ID] &&
 			!now.Before(in.avoidUntil) && in.mayLead(server, now)
 	}
 	if hint, ok := g.health.leaders[service]; ok {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -196,6 +196,21 @@
 		Expect(s.group.runsOf("w")).To(BeEmpty())
 	})
 
+	// Guards against work for a primary past the time after it announced that
+	// it leaves, while orders of promotions are lost.
+	It("send nothing to a server that has left, not even the rest of a transaction", func() {
+		s := newSetting()
+		session := s.session("strong")
+		session.handle(simple("b", statement.Begin))
+		Expect(session.handle(write("w1")).Succeeded()).To(BeTrue())
+		s.snapshot.Servers["p"].DrainedAt = time.Now()
+		Expect(session.handle(write("w2")).Code).To(Equal(statement.Aborted))
+		session.handle(simple("r", statement.Rollback))
+		Expect(session.handle(write("w3")).Code).To(Equal(statement.Busy))
+		Expect(s.group.runsOf("w2")).To(BeEmpty())
+		Expect(s.group.runsOf("w3")).To(BeEmpty())
+	})
+
 	// Guards against a stop that cuts off an open transaction, and against one
 	// that waits for idle sessions.
 	It("are closed between operations by a drain", func() {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/outcome"
@@ -115,12 +116,15 @@
 	deadline := tx.op.deadline(c.arrived)
 	a := &attempts{}
 	var result statement.Result
-	if tx.conn == nil {
+	switch {
+	case tx.conn == nil:
 		var opened bool
 		if result, opened = tx.open(c, deadline, a); !opened {
 			return s.aborted(c, result.Detail, a)
 		}
-	} else {
+	case s.gateway.withdrawn(tx.target.server):
+		return s.aborted(c, "the instance must not get work any more", a)
+	default:
 		var err error
 		if result, err = tx.send(c, deadline, a); err != nil {
 			tx.release()
@@ -139,6 +143,14 @@
 	return result
 }
 
+// withdrawn reports whether an instance must not even get the rest of a
+// transaction.
+func (g *Gateway) withdrawn(server *catalog.Server) bool {
+	snapshot := g.options.Catalog()
+	current := snapshot.Servers[server.ID]
+	return snapshot.Evacuated[server.Domain] || current != nil && current.Drained(g.now())
+}
+
 // send runs one statement on the transaction's connection. A statement that
 // found no slot is sent again, because it did not run.
 func (tx *transaction) send(c call, deadline time.Time, a *attempts) (statement.Result, error) {
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -32,6 +32,8 @@
 	suspicionPause = 250 * time.Millisecond
 	// promotionTime is how long a promotion may take until it shows.
 	promotionTime = 1500 * time.Millisecond
+	// repeatPause is the pause before an order without an answer is repeated.
+	repeatPause = 200 * time.Millisecond
 	// settleTime is the least time between two promotions of one service that
 	// are not planned.
 	settleTime = 3 * time.Second
@@ -323,7 +325,7 @@
 	if err == nil {
 		r.orders.Inc(1)
 		g.ordered, g.due = target.Server.ID, r.now().Add(promotionTime)
-		err = r.options.Orderer.Promote(ctx, service, target.Server.ID, r.options.Host, g.token)
+		err = r.order(ctx, service, target.Server.ID, g.token)
 	}
 	fields := []zap.Field{
 		zap.String(logging.FieldDecision, "promote"), zap.String("service", service),
@@ -337,15 +339,26 @@
 		fields = append(fields, zap.String(logging.FieldInstance, target.Server.ID), zap.Stringer("received", target.Received))
 	}
 	r.options.Log.Info("promotion ordered", fields...)
-	if errors.Is(err, ErrSuperseded) {
-		r.release(ctx, service, g)
-		return
-	}
-	if err == nil {
+	switch {
+	case err == nil:
 		g.settled = r.now()
+	case errors.Is(err, ErrSuperseded):
+		r.release(ctx, service, g)
+	default:
+		// The same order may be given again: it is the same change.
+		g.due = r.now().Add(repeatPause)
 	}
 }
 
+// orderTimeout bounds the wait for the answer to an order.
+const orderTimeout = 400 * time.Millisecond
+
+func (r *Runner) order(ctx context.Context, service, id string, token int64) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return r.options.Orderer.Promote(ctx, service, id, r.options.Host, token)
+}
+
 // choose asks all candidates how far they are and returns the one that received
 // most.
 func (r *Runner) choose(ctx context.Context, service string, snapshot *catalog.Snapshot, primary *catalog.Server) (*Candidate, error) {
