--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -20,9 +20,10 @@
 // Link is a connection as a codec provides it.
 type Link interface {
 	// Exchange sends the statements in one packet and returns their results in
-	// order. After an error the results that arrived are returned with it and
-	// the link is not usable any more.
-	Exchange(deadline time.Time, statements ...statement.Statement) ([]statement.Result, error)
+	// order. While nothing arrives, it asks stalled now and then whether to give
+	// up. After an error the results that arrived are returned with it and the
+	// link is not usable any more.
+	Exchange(deadline time.Time, stalled func() bool, statements ...statement.Statement) ([]statement.Result, error)
 	// Alive reports without waiting whether the peer has left the link open.
 	Alive() bool
 	Close()
@@ -73,9 +74,12 @@
 
 // Exchange sends statements and breaks the connection on an error.
 func (c *Conn) Exchange(deadline time.Time, statements ...statement.Statement) ([]statement.Result, error) {
-	results, err := c.Link.Exchange(deadline, statements...)
+	sent := time.Now()
+	results, err := c.Link.Exchange(deadline, func() bool { return c.instance.silent(sent) }, statements...)
 	if err != nil {
 		c.broken = true
+	} else {
+		c.instance.heard(sent)
 	}
 	if len(results) > 0 {
 		c.state = results[len(results)-1].State
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -67,6 +67,7 @@
 
 // instance is the pool's state for one incarnation of an instance.
 type instance struct {
+	activity
 	server    *catalog.Server
 	limit     Limit
 	idle      []*Conn
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -31,7 +31,7 @@
 	closed bool
 }
 
-func (l *fakeLink) Exchange(_ time.Time, statements ...statement.Statement) ([]statement.Result, error) {
+func (l *fakeLink) Exchange(_ time.Time, _ func() bool, statements ...statement.Statement) ([]statement.Result, error) {
 	if l.err != nil {
 		return nil, l.err
 	}
@@ -69,6 +69,21 @@
 	return l, nil
 }
 
+var _ = Describe("activity", func() {
+	// Guards against a failover that starts only when statements reach their
+	// deadline, and against one for an instance that is only slow.
+	It("tells a silent instance from a slow one", func() {
+		a := &activity{}
+		long := time.Now().Add(-minSilence)
+		Expect(a.silent(time.Now())).To(BeFalse())
+		Expect(a.silent(long)).To(BeTrue())
+		a.heard(time.Now())
+		Expect(a.silent(long)).To(BeFalse())
+		slow := &activity{answerTime: minSilence, last: long}
+		Expect(slow.silent(long)).To(BeFalse())
+	})
+})
+
 var _ = Describe("Pool", func() {
 	var dialer *fakeDialer
 	var pool *Pool
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -158,7 +158,7 @@
 		defer close(registered)
 		registry.Run(ctx)
 	}()
-	go d.watchReach(background, tracker, g, registry.Hosts, quota.PeerLender{Peers: peers})
+	go d.watchReach(background, tracker, g, registry.Hosts, router)
 	if follower.WaitReady(ctx) == nil {
 		limiter.WaitAdopted(ctx)
 		d.ready.Store(true)
--- a/internal/edge/isolation.go
+++ b/internal/edge/isolation.go
@@ -8,21 +8,20 @@
 
 	"github.com/bramleylever/bramleylever/internal/gateway"
 	"github.com/bramleylever/bramleylever/internal/hosts"
-	"github.com/bramleylever/bramleylever/internal/quota"
 	"github.com/bramleylever/bramleylever/internal/reach"
+	"github.com/bramleylever/bramleylever/internal/relay"
 )
 
 const (
 	// reachInterval is how often the reach of the host is looked at.
 	reachInterval = 200 * time.Millisecond
-	probeTimeout  = 150 * time.Millisecond
 	// maxProbes bounds the hosts that an isolated host asks at a time.
 	maxProbes = 3
 )
 
 // watchReach turns the host not ready while it is cut off from all other
 // failure domains, and closes idle sessions once callers are led elsewhere.
-func (d *Daemon) watchReach(ctx context.Context, tracker *reach.Tracker, g *gateway.Gateway, all func() []hosts.Host, lender quota.Lender) {
+func (d *Daemon) watchReach(ctx context.Context, tracker *reach.Tracker, g *gateway.Gateway, all func() []hosts.Host, router *relay.Router) {
 	ticker := time.NewTicker(reachInterval)
 	defer ticker.Stop()
 	var since time.Time
@@ -44,13 +43,12 @@
 		if time.Since(since) >= removalTime {
 			g.CloseIdle()
 		}
-		probe(ctx, tracker, d.options.Domain, all(), lender)
+		probe(ctx, tracker, d.options.Domain, all(), router)
 	}
 }
 
-// probe asks hosts in other failure domains for an answer. An empty account has
-// no tokens, so any answer says only that the host is reached.
-func probe(ctx context.Context, tracker *reach.Tracker, own string, all []hosts.Host, lender quota.Lender) {
+// probe asks hosts in other failure domains for an answer.
+func probe(ctx context.Context, tracker *reach.Tracker, own string, all []hosts.Host, router *relay.Router) {
 	asked := 0
 	for _, h := range all {
 		if h.Domain == own || h.Address == "" {
@@ -59,10 +57,7 @@
 		if asked++; asked > maxProbes {
 			return
 		}
-		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-		_, _, err := lender.Borrow(ctx, h, "")
-		cancel()
-		if err == nil {
+		if router.Ping(ctx, h) == nil {
 			tracker.Reached(h.Domain)
 			return
 		}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -36,7 +36,7 @@
 	runs *[]string
 }
 
-func (e *echo) Exchange(_ time.Time, statements ...statement.Statement) ([]statement.Result, error) {
+func (e *echo) Exchange(_ time.Time, _ func() bool, statements ...statement.Statement) ([]statement.Result, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.err != nil {
@@ -196,6 +196,12 @@
 		var refusal *connpool.Refusal
 		Expect(errors.As(err, &refusal)).To(BeTrue())
 		Expect(refusal.Code).To(Equal(statement.MaxConns))
+		f.dialErr = errors.New("connection refused")
+		Eventually(func() string {
+			_, err = f.do(2, "a")
+			return err.Error()
+		}).Should(ContainSubstring("connection refused"))
+		Expect(outcome.RetrySafe(err)).To(BeTrue(), "a connection that was not opened ran nothing")
 		f.dialErr, f.linkErr = nil, errors.New("reset")
 		Eventually(func() bool {
 			_, err = f.do(2, "a")
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
@@ -62,6 +63,8 @@
 	}
 	timer := time.AfterFunc(time.Until(deadline)+replySlack, m.cancel)
 	defer timer.Stop()
+	watch := m.watch()
+	defer watch.stop()
 	if err := m.stream.Send(request); err != nil {
 		m.router.failed(m.holder, err)
 		return connpool.Answer{}, m.error(err)
@@ -119,3 +122,71 @@
 		}
 	}()
 }
+
+const (
+	// stallTime is how long a holder may be silent before it is pinged, and
+	// pingTimeout bounds the wait for its answer.
+	stallTime   = 150 * time.Millisecond
+	pingTimeout = 80 * time.Millisecond
+	// maxMissedPings is the number of pings without an answer after which the
+	// work is given up. A host that is only slow answers one of them.
+	maxMissedPings = 2
+)
+
+// stallWatch gives up work at a holder that stopped answering, long before the
+// work's deadline.
+type stallWatch struct {
+	remote *remote
+	missed int
+
+	mu    sync.Mutex
+	timer *time.Timer
+	ended bool
+}
+
+func (m *remote) watch() *stallWatch {
+	w := &stallWatch{remote: m}
+	w.timer = time.AfterFunc(stallTime, w.check)
+	return w
+}
+
+func (w *stallWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	w.timer.Stop()
+}
+
+// check pings the holder and gives up after too many pings without an answer.
+func (w *stallWatch) check() {
+	err := w.remote.router.Ping(context.Background(), w.remote.holder)
+	if err == nil {
+		w.missed = 0
+	} else {
+		w.missed++
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.ended:
+	case w.missed >= maxMissedPings:
+		w.remote.router.failed(w.remote.holder, err)
+		w.remote.cancel()
+	case w.missed > 0:
+		w.timer.Reset(0)
+	default:
+		w.timer.Reset(stallTime)
+	}
+}
+
+// Ping asks a host for an answer, at most for pingTimeout.
+func (r *Router) Ping(ctx context.Context, host hosts.Host) error {
+	conn, err := r.options.Peers.Conn(host.Address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	_, err = peerv1.NewRelayClient(conn).Ping(ctx, &peerv1.PingRequest{})
+	return outcome.At("ping", host.Name, err)
+}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -55,7 +55,6 @@
 // Router hands out connections, own or relayed. It implements
 // connpool.Source.
 type Router struct {
-	peerv1.UnimplementedRelayServer
 	options Options
 	now     func() time.Time
 	leaving atomic.Bool
@@ -92,7 +91,9 @@
 }
 
 // Register serves other hosts on a gRPC server.
-func (r *Router) Register(s grpc.ServiceRegistrar) { peerv1.RegisterRelayServer(s, r) }
+func (r *Router) Register(s grpc.ServiceRegistrar) {
+	peerv1.RegisterRelayServer(s, service{router: r})
+}
 
 // Leave makes the router refuse new leases, so that other hosts turn away.
 func (r *Router) Leave() { r.leaving.Store(true) }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -19,9 +19,21 @@
 // connection.
 const acquireShare = 2
 
+// service is the gRPC side of a Router.
+type service struct {
+	peerv1.UnimplementedRelayServer
+	router *Router
+}
+
+// Ping implements the gRPC service.
+func (s service) Ping(context.Context, *peerv1.PingRequest) (*peerv1.PingReply, error) {
+	return &peerv1.PingReply{}, nil
+}
+
 // Lease implements the gRPC service: it runs the work of another host on a
 // connection of this one.
-func (r *Router) Lease(stream peerv1.Relay_LeaseServer) error {
+func (s service) Lease(stream peerv1.Relay_LeaseServer) error {
+	r := s.router
 	first, err := stream.Recv()
 	if err != nil {
 		return err
@@ -34,7 +46,9 @@
 	}
 	handle, err := r.openLease(stream.Context(), first)
 	if err != nil {
-		return stream.Send(failure(&connpool.Answer{}, err))
+		reply := failure(&connpool.Answer{}, err)
+		reply.NotRun = true
+		return stream.Send(reply)
 	}
 	defer handle.Release()
 	for request := first; ; {
