--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,12 +4,22 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/stats"
 )
 
+const (
+	// keepaliveTime is how long a connection may be silent before it is probed;
+	// 1 s is the least that gRPC allows.
+	keepaliveTime = time.Second
+	// keepaliveTimeout is how long a probe may stay without an answer.
+	keepaliveTimeout = 700 * time.Millisecond
+)
+
 // Server is the gRPC server on which the slices register their services.
 type Server struct {
 	*grpc.Server
@@ -31,6 +41,8 @@
 	server := grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.StatsHandler(NewTraffic(registry)),
+		// A host that is cut off must not keep leases of this one.
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	)
 	return &Server{Server: server, listener: listener}
 }
