--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -25,13 +25,16 @@
 			if err != nil {
 				return &ExitError{Code: ExitUsage, Err: err}
 			}
-			log, err := logging.New(level, env.out)
+			output := logging.NewBounded(env.out)
+			defer output.Close()
+			log, err := logging.New(level, output)
 			if err != nil {
 				return &ExitError{Code: ExitUsage, Err: err}
 			}
+			logging.AttachGoZero(log)
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
-			return platform.Run(ctx, s, log)
+			return platform.Run(ctx, s, log, output.Dropped)
 		},
 	}
 	cmd.Flags().StringVar(&level, "log-level", "info", "least level that is logged: debug, info, warn or error")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,8 @@
 	now     func() time.Time
 
 	draining atomic.Bool
+	// served counts statements, for the sample in the log.
+	served atomic.Uint64
 
 	mu       sync.Mutex
 	sessions map[*Session]struct{}
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -66,16 +66,22 @@
 	tried map[string]bool
 	count int
 	last  string
+	// history is the instances asked and what they answered, at most
+	// maxHistory of them.
+	history []string
 	// connecting, running and pausing is where the time went.
 	connecting time.Duration
 	running    time.Duration
 	pausing    time.Duration
 }
 
+// maxHistory bounds the attempts that a log line names.
+const maxHistory = 5
+
 // fields describes the attempts in a log line.
 func (a *attempts) fields() []zap.Field {
 	return []zap.Field{
-		zap.Int("attempts", a.count), zap.String("last_attempt", a.last),
+		zap.Int("attempts", a.count), zap.String("last_attempt", a.last), zap.Strings("tried", a.history),
 		zap.Duration("connecting", a.connecting), zap.Duration("running", a.running), zap.Duration("pausing", a.pausing),
 	}
 }
@@ -86,6 +92,9 @@
 	}
 	a.tried[server.ID] = true
 	a.last = reason + " at " + server.ID
+	if len(a.history) < maxHistory {
+		a.history = append(a.history, a.last)
+	}
 	a.count++
 }
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -261,6 +261,7 @@
 		if a != nil {
 			s.logSlow(st, op, c.arrived, a)
 		}
+		s.logSample(st, op, result)
 		return
 	}
 	fields := append(s.fields(st, op), zap.String("code", string(result.Code)), zap.String(logging.FieldReason, result.Detail))
@@ -270,6 +271,18 @@
 	s.gateway.log.Info("statement not served", fields...)
 }
 
+// sampleEvery is how many statements that were served share one log line.
+const sampleEvery = 200
+
+// logSample writes a line for some of the statements that were served.
+func (s *Session) logSample(st statement.Statement, op *operation, result statement.Result) {
+	if s.gateway.served.Add(1)%sampleEvery != 0 {
+		return
+	}
+	fields := append(s.fields(st, op), zap.Stringer("position", result.Position), zap.Stringer("session_position", s.position))
+	s.gateway.log.Info("statement served", fields...)
+}
+
 // logSlow writes a line for a step that took a large part of the objective.
 func (s *Session) logSlow(st statement.Statement, op *operation, since time.Time, a *attempts) {
 	took := s.gateway.now().Sub(since)
--- /dev/null
+++ b/internal/logging/bounded_test.go
@@ -0,0 +1,73 @@
+package logging
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLogging(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "logging")
+}
+
+var _ = Describe("Bounded", func() {
+	// Guards against requests that wait for whoever reads the log.
+	It("drops and counts lines while the output takes none", func() {
+		reader, writer := io.Pipe()
+		b := NewBounded(writer)
+		const beyond = 100
+		for range bufferLines + beyond + 1 {
+			_, err := b.Write([]byte("line\n"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(b.Dropped()).To(BeNumerically(">=", beyond))
+		Expect(reader.Close()).To(Succeed())
+		b.Close()
+	})
+
+	It("writes the waiting lines before it closes", func() {
+		var out bytes.Buffer
+		b := NewBounded(&out)
+		for range 100 {
+			_, _ = b.Write([]byte("line\n"))
+		}
+		b.Close()
+		Expect(strings.Count(out.String(), "line")).To(Equal(100))
+	})
+})
+
+var _ = Describe("WithBudget", func() {
+	// Guards against a log that grows with the load of an account that is far
+	// over its limit.
+	It("bounds the lines of a message and says how many were left out", func() {
+		var out bytes.Buffer
+		logger, err := New("info", &out)
+		Expect(err).NotTo(HaveOccurred())
+		registry := metrics.NewRegistry()
+		logger = WithBudget(logger, registry)
+		now := time.Unix(1000, 0)
+		core, ok := logger.Core().(*budgetCore)
+		Expect(ok).To(BeTrue())
+		core.shared.now = func() time.Time { return now }
+		for range budgetLines + 25 {
+			logger.Info("refused")
+		}
+		logger.Error("refused")
+		logger.Info("other")
+		Expect(strings.Count(out.String(), `"refused"`)).To(Equal(budgetLines + 1))
+		Expect(out.String()).To(ContainSubstring(`"other"`))
+		now = now.Add(budgetPeriod)
+		out.Reset()
+		logger.Info("refused")
+		Expect(out.String()).To(ContainSubstring(`"omitted_lines":25`))
+		Expect(metrics.GetOrRegisterCounter("logging.omitted_lines_count", registry).Count()).To(Equal(int64(25)))
+	})
+})
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -27,6 +27,7 @@
 	FieldStep      = "step"
 	FieldSession   = "session"
 	FieldStatement = "statement_class"
+	FieldOmitted   = "omitted_lines"
 )
 
 // New returns a logger that writes JSON lines of at least the given level
