Fewer holders of connections and quotas in large fleets

Change: a holder for each 12 connections; a holder that is not reached counts against an instance only together with another; in fleets above 9 hosts three hold an account's limit and the rest borrow.

--- a/internal/connpool/work.go
+++ b/internal/connpool/work.go
@@ -38,6 +38,19 @@
 	Use int
 }
 
+// HolderError is the failure to reach the host that holds a connection. It says
+// little about the instance.
+type HolderError struct {
+	Holder string
+	Err    error
+}
+
+// Error names the host.
+func (e *HolderError) Error() string { return fmt.Sprintf("holder %s: %v", e.Holder, e.Err) }
+
+// Unwrap returns the cause.
+func (e *HolderError) Unwrap() error { return e.Err }
+
 // Handle is a connection that one operation uses.
 type Handle interface {
 	// Do runs work. The error matches outcome.ErrNotRun if none of the
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -35,6 +35,9 @@
 	// failingSince is the time of the first failure after the last answer.
 	failingSince time.Time
 	lastAnswer   time.Time
+	// unreachedHolder is a host that holds connections to the instance and did
+	// not answer since the instance's last answer.
+	unreachedHolder string
 	// refusedLead is when the instance last answered that it does not lead,
 	// and refusedRole the revision of its role at that time.
 	refusedLead time.Time
@@ -82,6 +85,7 @@
 	in.avoidUntil = time.Time{}
 	in.failingSince = time.Time{}
 	in.lastAnswer = now
+	in.unreachedHolder = ""
 	if in.applied.Compare(p) < 0 {
 		in.applied = p
 	}
@@ -103,6 +107,21 @@
 	in.avoidUntil = now.Add(in.backoff)
 }
 
+// holderFailed records that a host that holds connections to an instance was
+// not reached. It counts as a failure of the instance only if another holder
+// was not reached either.
+func (h *health) holderFailed(server *catalog.Server, holder string, now time.Time) {
+	h.reach.Failed(server.Domain)
+	h.mu.Lock()
+	in := h.get(server)
+	other := in.unreachedHolder != "" && in.unreachedHolder != holder
+	in.unreachedHolder = holder
+	h.mu.Unlock()
+	if other {
+		h.failed(server, now)
+	}
+}
+
 // lagged records that a replica lacked a bound that is known since the given
 // time.
 func (h *health) lagged(server *catalog.Server, age time.Duration) {
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -91,6 +91,11 @@
 		a.tried = map[string]bool{}
 	}
 	a.tried[server.ID] = true
+	a.note(server, reason)
+}
+
+// note records an attempt.
+func (a *attempts) note(server *catalog.Server, reason string) {
 	a.last = reason + " at " + server.ID
 	if len(a.history) < maxHistory {
 		a.history = append(a.history, a.last)
@@ -184,7 +189,7 @@
 func (op *operation) attempt(t target, w connpool.Work, deadline time.Time, a *attempts) (connpool.Answer, bool) {
 	conn, err := op.acquire(t.server, deadline, a)
 	if err != nil {
-		op.noteAcquire(t.server, err, a)
+		op.noteFailure(t.server, err, a)
 		return connpool.Answer{}, false
 	}
 	defer conn.Release()
@@ -270,18 +275,25 @@
 	return g.options.Conns.Acquire(ctx, server, op.account, op.session.values)
 }
 
-// noteAcquire learns from a connection that could not be had.
-func (op *operation) noteAcquire(server *catalog.Server, err error, a *attempts) {
+// noteFailure learns from a connection that could not be had or that failed.
+func (op *operation) noteFailure(server *catalog.Server, err error, a *attempts) {
 	g := op.gateway()
-	a.exclude(server, err.Error())
 	var refusal *connpool.Refusal
-	waited := errors.Is(err, connpool.ErrNoConnection)
-	full := errors.As(err, &refusal) && refusal.Code == statement.MaxConns
-	if !waited && !full {
-		g.health.failed(server, g.now())
-		g.log.Info("instance not reached", zap.String(logging.FieldDecision, "avoid_instance"),
-			zap.String(logging.FieldInstance, server.ID), zap.Error(err))
+	var holder *connpool.HolderError
+	switch {
+	case errors.As(err, &holder):
+		// Another holder, or a connection of this host, may still reach it.
+		a.note(server, err.Error())
+		g.health.holderFailed(server, holder.Holder, g.now())
+		return
+	case errors.Is(err, connpool.ErrNoConnection), errors.As(err, &refusal) && refusal.Code == statement.MaxConns:
+		a.exclude(server, err.Error())
+		return
 	}
+	a.exclude(server, err.Error())
+	g.health.failed(server, g.now())
+	g.log.Info("instance not reached", zap.String(logging.FieldDecision, "avoid_instance"),
+		zap.String(logging.FieldInstance, server.ID), zap.Error(err))
 }
 
 // noteLeader records an answer that only a leader gives.
@@ -291,11 +303,6 @@
 	g.bounds.Add(server.Service, sent, p)
 }
 
-// noteFailure learns from a connection that failed.
-func (op *operation) noteFailure(server *catalog.Server, err error, a *attempts) {
-	op.noteAcquire(server, err, a)
-}
-
 // write runs a write outside a transaction. It is sent again only after an
 // answer that says that it did not run.
 func (op *operation) write(c call) statement.Result {
@@ -326,7 +333,7 @@
 	g := op.gateway()
 	conn, err := op.acquire(t.server, deadline, a)
 	if err != nil {
-		op.noteAcquire(t.server, err, a)
+		op.noteFailure(t.server, err, a)
 		return statement.Result{}, false
 	}
 	defer conn.Release()
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -215,7 +215,7 @@
 	op := tx.op
 	conn, err := op.acquire(t.server, deadline, a)
 	if err != nil {
-		op.noteAcquire(t.server, err, a)
+		op.noteFailure(t.server, err, a)
 		return statement.Result{}, false
 	}
 	begin := &statement.Statement{Kind: statement.Begin}
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -28,6 +28,9 @@
 	keepAlivePause = 1 * time.Second
 	retryPause     = 250 * time.Millisecond
 	refreshPause   = 3 * time.Second
+	// refreshPerHost keeps the reads of a large fleet in proportion to its size
+	// rather than to the square of it.
+	refreshPerHost = 100 * time.Millisecond
 	// startTime is how long the other hosts are read with every renewal.
 	startTime   = 5 * time.Second
 	callTimeout = 800 * time.Millisecond
@@ -184,7 +187,8 @@
 	if r.now().Sub(started) < startTime {
 		return 0
 	}
-	return refreshPause
+	hosts, _ := r.Live()
+	return max(refreshPause, time.Duration(hosts)*refreshPerHost)
 }
 
 // logChange writes a line when the registration is lost or regained, and
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -109,8 +109,7 @@
 
 // admit takes a token if there is one.
 func (a *account) admit(now time.Time) bool {
-	a.decay(now)
-	a.demand += 1 / demandWindow.Seconds()
+	a.count(now)
 	a.refill(now)
 	if a.level < 1 {
 		a.short = true
@@ -129,6 +128,12 @@
 	return time.Duration(max(0, 1-a.level) / rate * float64(time.Second))
 }
 
+// count records an arrival.
+func (a *account) count(now time.Time) {
+	a.decay(now)
+	a.demand += 1 / demandWindow.Seconds()
+}
+
 // decay lets the moving average of the demand, in operations per second, age.
 func (a *account) decay(now time.Time) {
 	elapsed := now.Sub(a.demandedAt)
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -1,11 +1,12 @@
 package quota
 
 import (
+	"cmp"
 	"context"
-	"math"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 
 	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
@@ -65,16 +66,22 @@
 // configuration in force names have any.
 func (l *Limiter) lend(name string) (bool, time.Duration) {
 	c := l.options.Accounts()[name]
-	if c == nil {
+	if c == nil || !l.holds(name) {
 		return false, emptyTime
 	}
+	all := len(l.options.Peers()) <= smallFleet
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(name)
-	a.limit, a.hosts = l.limit(c), l.options.Hosts()
+	a.limit, a.hosts = l.limit(c), l.holderCount()
 	now := l.now()
 	a.refill(now)
+	if !all {
+		// The borrower holds nothing, so its demand is this host's.
+		a.count(now)
+	}
 	if a.level < 1 {
+		a.short = a.short || !all
 		return false, max(minWait, a.wait(now))
 	}
 	a.level--
@@ -107,20 +114,57 @@
 // lenders returns the hosts to ask: those that may have a token, the largest
 // holders first.
 func (l *Limiter) lenders(name string) []hosts.Host {
-	all := l.options.Peers()
+	holders := l.holders(name)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.account(name)
 	now := l.now()
-	holdings := a.holdings
 	var out []hosts.Host
-	for _, h := range all {
+	for _, h := range holders {
 		if h.Name != l.options.Host && h.Address != "" && !now.Before(a.empty[h.Name]) {
 			out = append(out, h)
 		}
 	}
-	slices.SortFunc(out, func(x, y hosts.Host) int {
-		return int(math.Copysign(1, holdings[y.Name].Fraction-holdings[x.Name].Fraction))
+	slices.SortStableFunc(out, func(x, y hosts.Host) int {
+		return cmp.Compare(a.holdings[y.Name].Fraction, a.holdings[x.Name].Fraction)
 	})
 	return out[:min(borrowTries, len(out))]
 }
+
+// In a fleet of at most smallFleet hosts all hold parts of each account's limit.
+// In a larger one fewHolders do and the others borrow for each operation,
+// because the part of a host that meets an account seldom would lie idle.
+const (
+	smallFleet = 9
+	fewHolders = 3
+)
+
+// holders returns the hosts that hold parts of an account's limit, by
+// rendezvous hashing.
+func (l *Limiter) holders(name string) []hosts.Host {
+	all := l.options.Peers()
+	if len(all) <= smallFleet {
+		return all
+	}
+	score := func(h hosts.Host) uint64 { return xxhash.Sum64String(name + "\x00" + h.Name) }
+	slices.SortFunc(all, func(x, y hosts.Host) int { return cmp.Compare(score(y), score(x)) })
+	return all[:fewHolders]
+}
+
+// holds reports whether this host holds a part of an account's limit.
+func (l *Limiter) holds(name string) bool {
+	for _, h := range l.holders(name) {
+		if h.Name == l.options.Host {
+			return true
+		}
+	}
+	return false
+}
+
+// holderCount is the number of hosts that may hold a part of a limit.
+func (l *Limiter) holderCount() int {
+	if hosts := l.options.Hosts(); hosts <= smallFleet {
+		return hosts
+	}
+	return fewHolders
+}
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -10,7 +10,7 @@
 // shardCount is the number of documents over which the accounts are spread, so
 // that hosts that change different accounts seldom conflict. All of them fit
 // into one transaction.
-const shardCount = 8
+const shardCount = 16
 
 // shardOf returns the shard of an account.
 func shardOf(account string) int {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"sync"
@@ -127,11 +128,15 @@
 	if c.Rate <= 0 {
 		return true
 	}
+	holds := l.holds(c.Name)
 	l.mu.Lock()
 	a := l.account(c.Name)
-	a.limit, a.hosts = l.limit(c), l.options.Hosts()
-	admitted := a.admit(now)
-	wait := a.wait(now)
+	a.limit, a.hosts = l.limit(c), l.holderCount()
+	admitted := holds && a.admit(now)
+	wait := time.Duration(math.MaxInt64)
+	if holds {
+		wait = a.wait(now)
+	}
 	l.mu.Unlock()
 	if admitted || l.borrow(c.Name) {
 		return true
@@ -347,7 +352,10 @@
 			next[shard] = l.ledgers[shard].clone()
 			l.sightings.prune(next[shard], l.options.Host, now)
 		}
-		target := a.target(next[shard].others(name, l.options.Host), now)
+		target := 0.0
+		if l.holds(name) {
+			target = a.target(next[shard].others(name, l.options.Host), now)
+		}
 		next[shard].set(name, l.options.Host, holding{Fraction: target, Sequence: l.sequence})
 		changes = append(changes, change{name, target})
 		a.refill(now)
@@ -363,11 +371,11 @@
 	}
 	for name, c := range l.options.Accounts() {
 		_, known := l.accounts[name]
-		if known || c.Rate <= 0 {
+		if known || c.Rate <= 0 || !l.holds(name) {
 			continue
 		}
 		a := l.account(name)
-		a.limit, a.hosts = l.limit(c), l.options.Hosts()
+		a.limit, a.hosts = l.limit(c), l.holderCount()
 		a.wish = a.initial()
 	}
 }
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -57,7 +57,7 @@
 	if m.stream == nil {
 		if err := m.open(deadline); err != nil {
 			m.router.failed(m.holder, err)
-			return connpool.Answer{}, m.error(fmt.Errorf("%w: %w", outcome.ErrNotRun, err))
+			return connpool.Answer{}, m.unreached(fmt.Errorf("%w: %w", outcome.ErrNotRun, err))
 		}
 		request.Open = &peerv1.LeaseOpen{ServerId: m.server.ID, Started: m.server.Started, Account: m.account}
 	}
@@ -67,12 +67,12 @@
 	defer watch.stop()
 	if err := m.stream.Send(request); err != nil {
 		m.router.failed(m.holder, err)
-		return connpool.Answer{}, m.error(err)
+		return connpool.Answer{}, m.unreached(err)
 	}
 	reply, err := m.stream.Recv()
 	if err != nil {
 		m.router.failed(m.holder, err)
-		return connpool.Answer{}, m.error(err)
+		return connpool.Answer{}, m.unreached(err)
 	}
 	return m.settle(reply)
 }
@@ -82,10 +82,10 @@
 	answer := fromReply(reply)
 	if reply.GetLeaving() {
 		m.router.left(m.holder)
-	} else {
-		m.router.answered(m.holder)
-		m.router.report(m.server, answer.Use)
+		return answer, m.unreached(fmt.Errorf("%w: %s", outcome.ErrNotRun, reply.GetError()))
 	}
+	m.router.answered(m.holder)
+	m.router.report(m.server, answer.Use)
 	switch {
 	case reply.GetError() == "":
 		return answer, nil
@@ -97,6 +97,10 @@
 	return answer, m.error(errors.New(reply.GetError()))
 }
 
+func (m *remote) unreached(err error) error {
+	return m.error(&connpool.HolderError{Holder: m.holder.Name, Err: err})
+}
+
 func (m *remote) error(err error) error { return outcome.At("relay", m.holder.Name, err) }
 
 // Release implements connpool.Handle. The end of the stream gives the
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -12,7 +12,9 @@
 package relay
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,38 +100,58 @@
 // Leave makes the router refuse new leases, so that other hosts turn away.
 func (r *Router) Leave() { r.leaving.Store(true) }
 
-// holders returns the hosts that may hold connections to an instance: those in
-// its failure domain, or all if there is none.
-func (r *Router) holders(server *catalog.Server) []hosts.Host {
+const (
+	// connsPerHolder is the number of connections that a holder should have, so
+	// that it seldom has to close one account's for another's.
+	connsPerHolder = 12
+	// minHolders is the least number of holders of an instance, so that one
+	// that fails leaves another.
+	minHolders = 2
+)
+
+// holders returns the hosts that may hold connections to an instance, the
+// preferred ones first, and how many of them do. They are in the instance's
+// failure domain, if there is any host.
+func (r *Router) holders(server *catalog.Server, conns int) (ranked []hosts.Host, count int) {
 	all := r.options.Hosts()
-	near := make([]hosts.Host, 0, len(all))
 	for _, h := range all {
 		if h.Domain == server.Domain {
-			near = append(near, h)
+			ranked = append(ranked, h)
 		}
 	}
-	if len(near) == 0 {
-		return all
+	if len(ranked) == 0 {
+		ranked = all
 	}
-	return near
+	slices.SortFunc(ranked, func(a, b hosts.Host) int {
+		return cmp.Compare(score(server.ID, "", b.Name), score(server.ID, "", a.Name))
+	})
+	return ranked, min(len(ranked), max(minHolders, conns/connsPerHolder))
+}
+
+// score is the weight of a host in rendezvous hashing.
+func score(server, account, host string) uint64 {
+	return xxhash.Sum64String(server + "\x00" + account + "\x00" + host)
 }
 
 // holder returns the holder for a pair of an instance and an account, or false
 // if none can be used now.
 func (r *Router) holder(server *catalog.Server, account string) (hosts.Host, bool) {
+	ranked, count := r.holders(server, maxConns(r.options.Catalog(), server))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	var best hosts.Host
 	var bestScore uint64
-	for _, h := range r.holders(server) {
+	for _, h := range ranked {
 		self := h.Name == r.options.Self
 		if !self && (h.Address == "" || now.Before(r.avoid[h.Name].until)) {
 			continue
 		}
-		score := xxhash.Sum64String(server.ID + "\x00" + account + "\x00" + h.Name)
-		if best.Name == "" || score > bestScore {
-			best, bestScore = h, score
+		if s := score(server.ID, account, h.Name); best.Name == "" || s > bestScore {
+			best, bestScore = h, s
+		}
+		if count--; count == 0 {
+			break
 		}
 	}
 	return best, best.Name != ""
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -94,17 +94,23 @@
 	return reply
 }
 
-// limit returns how many connections this host keeps to an instance. The hosts
-// in the instance's failure domain share all but a reserve of its connections.
-func (r *Router) limit(snapshot *catalog.Snapshot, server *catalog.Server) connpool.Limit {
-	conns := defaultMaxConns
+// maxConns returns how many connections an instance accepts.
+func maxConns(snapshot *catalog.Snapshot, server *catalog.Server) int {
 	if s := snapshot.Service(server.Service); s != nil && s.MaxConns > 0 {
-		conns = s.MaxConns
+		return s.MaxConns
 	}
-	holders := r.holders(server)
-	for _, h := range holders {
-		if h.Name == r.options.Self {
-			share := max(minHeld, int(heldPart*float64(conns))/len(holders))
+	return defaultMaxConns
+}
+
+// limit returns how many connections this host keeps to an instance. The
+// holders share all but a reserve of them; the host that is next in rank may
+// have to stand in for one.
+func (r *Router) limit(snapshot *catalog.Snapshot, server *catalog.Server) connpool.Limit {
+	conns := maxConns(snapshot, server)
+	ranked, count := r.holders(server, conns)
+	for rank, h := range ranked {
+		if h.Name == r.options.Self && rank <= count {
+			share := max(minHeld, int(heldPart*float64(conns))/count)
 			return connpool.Limit{Open: share, Idle: share}
 		}
 	}
