--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -23,7 +23,7 @@
 	ReadYourWrites
 )
 
-var consistencyNames = [...]string{"primary", "bounded_staleness_read", "read_your_writes"}
+var consistencyNames = [...]string{"strong", "bounded", "read_your_writes"}
 
 // String returns the name used in logs.
 func (c Consistency) String() string { return consistencyNames[c] }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -213,7 +213,7 @@
 		return nil, result
 	}
 	if !g.options.Admission.Admit(account, g.now()) {
-		return nil, statement.Result{Code: statement.Busy, Detail: "the account's rate is used up"}
+		return nil, statement.Result{Code: statement.Busy, Detail: "the rate of account " + account.Name + " is used up"}
 	}
 	op := &operation{session: s, route: route, account: account.Name, arrived: arrived}
 	return op, statement.Result{}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -37,6 +37,9 @@
 }
 
 func (e *echo) Exchange(_ time.Time, _ func() bool, statements ...statement.Statement) ([]statement.Result, error) {
+	if statements[0].Text == slowText {
+		time.Sleep(slowTime)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.err != nil {
@@ -57,6 +60,12 @@
 func (e *echo) Alive() bool { return true }
 func (e *echo) Close()      {}
 
+// slowText is a statement that takes slowTime.
+const (
+	slowText = "READ slow"
+	slowTime = 400 * time.Millisecond
+)
+
 // fleet is hosts in two failure domains with one instance in the first.
 type fleet struct {
 	mu      sync.Mutex
@@ -210,6 +219,28 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	// Guards against work that reaches its deadline at a holder and takes the
+	// work of all other sessions at that holder with it: writes became in doubt.
+	It("does not give up a holder because of one statement that is late", func() {
+		f := newFleet()
+		do := func(deadline time.Duration) error {
+			h, err := f.routers[2].Acquire(context.Background(), server, "a", nil)
+			Expect(err).NotTo(HaveOccurred())
+			defer h.Release()
+			st := statement.Statement{Kind: statement.Read, Text: slowText}
+			_, err = h.Do(time.Now().Add(deadline), connpool.Work{Statements: []statement.Statement{st}})
+			return err
+		}
+		other := make(chan error, 1)
+		go func() {
+			defer GinkgoRecover()
+			other <- do(5 * time.Second)
+		}()
+		Expect(do(slowTime / 4)).NotTo(Succeed())
+		Eventually(other, 3*time.Second).Should(Receive(BeNil()))
+		Expect(f.routers[2].avoid).To(BeEmpty())
+	})
+
 	// Guards against the statements of a transaction on several connections.
 	It("keeps a transaction on one connection until it is released", func() {
 		f := newFleet()
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -70,7 +70,12 @@
 		return connpool.Answer{}, m.unreached(err)
 	}
 	reply, err := m.stream.Recv()
-	if err != nil {
+	switch {
+	case err == nil:
+	case !time.Now().Before(deadline) && !watch.gaveUp():
+		// The holder answers pings, so the work itself took too long.
+		return connpool.Answer{}, m.error(err)
+	default:
 		m.router.failed(m.holder, err)
 		return connpool.Answer{}, m.unreached(err)
 	}
@@ -146,6 +151,14 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	ended bool
+	// lost says that the holder missed too many pings.
+	lost bool
+}
+
+func (w *stallWatch) gaveUp() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.lost
 }
 
 func (m *remote) watch() *stallWatch {
@@ -174,7 +187,7 @@
 	switch {
 	case w.ended:
 	case w.missed >= maxMissedPings:
-		w.remote.router.failed(w.remote.holder, err)
+		w.lost = true
 		w.remote.cancel()
 	case w.missed > 0:
 		w.timer.Reset(0)
