--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -28,8 +28,8 @@
 	tickInterval = 100 * time.Millisecond
 	// urgentPause is the least time between two writes of a host whose
 	// holdings are too small, and renewPause the time between two others.
-	urgentPause = 700 * time.Millisecond
-	renewPause  = 2 * time.Second
+	urgentPause = 1500 * time.Millisecond
+	renewPause  = 4 * time.Second
 	// restartTime is the least time between the end of a process and the start
 	// of the next one. A holding that an earlier incarnation left has refilled
 	// meanwhile.
