--- /dev/null
+++ b/internal/promotion/order.go
@@ -0,0 +1,117 @@
+package promotion
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/logging"
+)
+
+// promote chooses an instance and orders its promotion.
+func (r *Runner) promote(ctx context.Context, service string, g *group, snapshot *catalog.Snapshot, primary *catalog.Server, reason Reason) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	started := r.now()
+	target, err := r.choose(ctx, service, snapshot, primary)
+	if err == nil && g.ordered != "" && g.ordered != target.Server.ID {
+		// The earlier order may still be carried out; only a higher token
+		// supersedes it.
+		r.release(ctx, service, g)
+		return
+	}
+	if err == nil {
+		r.orders.Inc(1)
+		g.ordered, g.due = target.Server.ID, r.now().Add(promotionTime)
+		err = r.order(ctx, service, target.Server.ID, g.token)
+	}
+	fields := []zap.Field{
+		zap.String(logging.FieldDecision, "promote"), zap.String("service", service),
+		zap.String(logging.FieldReason, string(reason)), zap.Int64("token", g.token),
+		zap.Duration("took", r.now().Sub(started)), zap.Error(err),
+	}
+	if primary != nil {
+		fields = append(fields, zap.String("old_primary", primary.ID))
+	}
+	if target != nil {
+		fields = append(fields, zap.String(logging.FieldInstance, target.Server.ID), zap.Stringer("received", target.Received))
+	}
+	r.options.Log.Info("promotion ordered", fields...)
+	switch {
+	case err == nil:
+		g.settled = r.now()
+	case errors.Is(err, ErrSuperseded):
+		r.release(ctx, service, g)
+	default:
+		// The same order may be given again: it is the same change.
+		g.due = r.now().Add(repeatPause)
+	}
+}
+
+// orderTimeout bounds the wait for the answer to an order.
+const orderTimeout = 400 * time.Millisecond
+
+func (r *Runner) order(ctx context.Context, service, id string, token int64) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return r.options.Orderer.Promote(ctx, service, id, r.options.Host, token)
+}
+
+// choose asks all candidates how far they are and returns the one that received
+// most.
+func (r *Runner) choose(ctx context.Context, service string, snapshot *catalog.Snapshot, primary *catalog.Server) (*Candidate, error) {
+	sync := 0
+	if s := snapshot.Service(service); s != nil {
+		sync = s.SyncReplicas
+	}
+	all := candidates(snapshot, service, primary)
+	reports := r.inspect(ctx, all, sync > 0)
+	replicas := len(snapshot.Groups[service]) - 1
+	if target := best(reports); target != nil && sufficient(len(reports), replicas, sync) {
+		return target, nil
+	}
+	if sync > 0 {
+		for _, report := range reports {
+			if err := r.options.Inspector.Resume(ctx, report.Server); err != nil {
+				r.options.Log.Warn("replica not resumed", zap.String(logging.FieldInstance, report.Server.ID), zap.Error(err))
+			}
+		}
+	}
+	return nil, fmt.Errorf("%d of %d replicas answered: %w", len(reports), replicas, ErrNotReady)
+}
+
+// inspectTimeout bounds the wait for the candidates.
+const inspectTimeout = 350 * time.Millisecond
+
+// inspect asks the candidates in parallel and returns those that answered.
+func (r *Runner) inspect(ctx context.Context, servers []*catalog.Server, pause bool) []Candidate {
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	ask := r.options.Inspector.Status
+	if pause {
+		ask = r.options.Inspector.Pause
+	}
+	var mu sync.Mutex
+	var reports []Candidate
+	var group sync.WaitGroup
+	for _, server := range servers {
+		group.Go(func() {
+			report, err := ask(ctx, server)
+			if err != nil {
+				r.options.Log.Info("candidate did not answer", zap.String(logging.FieldStep, "inspect"),
+					zap.String(logging.FieldInstance, server.ID), zap.Error(err))
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			reports = append(reports, report)
+		})
+	}
+	group.Wait()
+	return reports
+}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -4,7 +4,7 @@
 // Each host holds a fraction of each account's limit, sized by its demand and
 // recorded in the platform's store under a compare-and-swap. It renews the
 // record now and then, and goes on with it for holdTime when the store does not
-// answer. A small floor is divided equally between the hosts.
+// answer. A part of each limit, the floor, is divided equally between the hosts.
 //
 // Invariant: the fractions and floors in use never exceed the whole limit,
 // whatever is cut off, paused or restarted.
