--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -118,7 +118,8 @@
 }
 
 // Admit takes one token for an operation of the account, borrows it from another
-// host if this one has none, and waits for it if it comes soon. It reports false if the limit is reached.
+// host if this one has none, and waits for it if it comes soon. It reports false
+// if the limit is reached.
 func (l *Limiter) Admit(c *catalog.Account, now time.Time) bool {
 	if c.Rate <= 0 {
 		return true
