Renew an adopted quota holding at once; rank hosts in one place

Cause, found in reading the change: a host that restarts took its recorded holding over as if it had just renewed it, and so renewed it 8 s later, while the others reclaim it 25 s after they last saw it change. The adopted account now also knows the number of hosts before its first operation. Ruled out: the number of hosts alone, which leaves the same overlap. Rendezvous ranking stood in relay and quota and hashed twice for each comparison of every operation; hosts.Rank hashes each host once.

--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 
 	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
@@ -146,8 +145,7 @@
 	if len(all) <= smallFleet {
 		return all
 	}
-	score := func(h hosts.Host) uint64 { return xxhash.Sum64String(name + "\x00" + h.Name) }
-	slices.SortFunc(all, func(x, y hosts.Host) int { return cmp.Compare(score(y), score(x)) })
+	hosts.Rank(all, name)
 	return all[:fewHolders]
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -220,6 +220,39 @@
 		Expect(f.limiters[0].account("a").fraction).To(BeNumerically("~", 1-floorPart, 0.01))
 	})
 
+	// Guards against a limit used twice: a host that restarts takes over what it
+	// held while the others are about to reclaim it as not renewed.
+	It("renews an adopted holding before the others can reclaim it", func() {
+		f := newFleet(2, 100)
+		for tick := range 1000 {
+			f.step(10*time.Millisecond, nil)
+			if tick%3 == 0 {
+				f.admit(1)
+			}
+		}
+		host := f.limiters[1].options.Host
+		// The other host holds a part too, so it sees the last renewal.
+		for range 100 {
+			f.admit(0)
+		}
+		f.limiters[0].write(context.Background(), 1<<shardOf("a"))
+		for range int(reclaimTime/(10*time.Millisecond)) - 100 {
+			f.step(10*time.Millisecond, map[int]bool{1: true})
+		}
+		f.limiters[1] = f.start(host, 2)
+		f.limiters[1].adopt(context.Background())
+		Expect(f.limiters[1].account("a").fraction).To(BeNumerically(">", 0))
+		for range 600 {
+			f.step(10*time.Millisecond, nil)
+			f.admit(0)
+			sum := 0.0
+			for _, l := range f.limiters {
+				sum += l.account("a").held(f.now)
+			}
+			Expect(sum).To(BeNumerically("<=", 1+1e-9))
+		}
+	})
+
 	// Guards against an entry of a damaged document that raises a limit.
 	It("refuses a fraction above the whole", func() {
 		_, err := decodeLedger([]byte(`{"a":{"h":{"fraction":1.5,"sequence":1}}}`))
--- a/internal/quota/record.go
+++ b/internal/quota/record.go
@@ -43,7 +43,9 @@
 		for name, holdings := range l.ledgers[shard] {
 			if own, ok := holdings[l.options.Host]; ok {
 				a := l.account(name)
-				a.fraction, a.renewed = own.Fraction, asked
+				// The others may be about to reclaim it, so it is renewed next.
+				a.fraction, a.renewed = own.Fraction, asked.Add(-renewTime)
+				a.hosts = l.holderCount()
 				a.updated = asked.Add(-restartTime)
 				l.sequence = max(l.sequence, own.Sequence)
 			}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -12,14 +12,11 @@
 package relay
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
@@ -122,21 +119,15 @@
 	if len(ranked) == 0 {
 		ranked = all
 	}
-	slices.SortFunc(ranked, func(a, b hosts.Host) int {
-		return cmp.Compare(score(server.ID, "", b.Name), score(server.ID, "", a.Name))
-	})
+	hosts.Rank(ranked, server.ID)
 	return ranked, min(len(ranked), max(minHolders, conns/connsPerHolder))
 }
 
-// score is the weight of a host in rendezvous hashing.
-func score(server, account, host string) uint64 {
-	return xxhash.Sum64String(server + "\x00" + account + "\x00" + host)
-}
-
 // holder returns the holder for a pair of an instance and an account, or false
 // if none can be used now.
 func (r *Router) holder(server *catalog.Server, account string) (hosts.Host, bool) {
 	ranked, count := r.holders(server, maxConns(r.options.Catalog(), server))
+	pair := server.ID + "\x00" + account
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
@@ -147,7 +138,7 @@
 		if !self && (h.Address == "" || now.Before(r.avoid[h.Name].until)) {
 			continue
 		}
-		if s := score(server.ID, account, h.Name); best.Name == "" || s > bestScore {
+		if s := hosts.Score(pair, h); best.Name == "" || s > bestScore {
 			best, bestScore = h, s
 		}
 		if count--; count == 0 {
