--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -105,6 +106,21 @@
 		Eventually(func() bool { return follower.Snapshot().Evacuated["d1"] }, 3*time.Second).Should(BeFalse())
 	})
 
+	// Guards against a full read of the catalog by every host after each watch
+	// that fails: the configuration is large and the store counts each call.
+	It("goes on from the last change after a watch that failed", func() {
+		put("c/config", Config{Version: 1})
+		put("s/i1", Server{Service: "x"})
+		Eventually(func() bool { return follower.Snapshot().Complete }).Should(BeTrue())
+		memory.SetFault(platformtest.Fault{Err: platform.ErrUnavailable})
+		time.Sleep(50 * time.Millisecond)
+		memory.SetFault(platformtest.Fault{})
+		put("c/config", Config{Version: 2})
+		calls := memory.Calls()
+		Eventually(version, 3*time.Second).Should(Equal(int64(2)))
+		Expect(memory.Calls()).To(Equal(calls))
+	})
+
 	// Guards against an unreadable entry of another writer that hides the rest.
 	It("leaves out an entry that cannot be read", func() {
 		_, err := memory.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: "s/bad", Value: []byte("{")}}})
@@ -115,6 +131,52 @@
 	})
 })
 
+// deafWatches is a store whose first watches never hear anything, like a
+// connection that waited through an outage.
+type deafWatches struct {
+	*platformtest.Memory
+	deaf atomic.Int64
+}
+
+func (d *deafWatches) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchUpdate, error) {
+	if d.deaf.Add(-1) >= 0 {
+		return make(chan platform.WatchUpdate), nil
+	}
+	return d.Memory.Watch(ctx, prefix, from)
+}
+
+var _ = Describe("Resync", func() {
+	// Guards against a host that stays behind after an outage until its long
+	// watch ends.
+	It("opens watches again that hear nothing", func() {
+		store := &deafWatches{Memory: platformtest.NewMemory(nil)}
+		store.deaf.Store(prefixCount)
+		put := func(version int64) {
+			value, err := json.Marshal(Config{Version: version})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = store.Txn(context.Background(), platform.Txn{Puts: []platform.Put{{Key: "c/config", Value: value}}})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		put(1)
+		follower := NewFollower(store, testLayout(), func() time.Duration { return time.Second }, zap.NewNop())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { defer close(done); follower.Run(ctx) }()
+		DeferCleanup(func() { cancel(); <-done })
+		version := func() int64 {
+			if c := follower.Snapshot().Config; c != nil {
+				return c.Version
+			}
+			return 0
+		}
+		Eventually(func() int64 { return store.deaf.Load() }).Should(BeZero())
+		put(2)
+		Consistently(version, 100*time.Millisecond).Should(Equal(int64(1)))
+		follower.Resync()
+		Eventually(version).Should(Equal(int64(2)))
+	})
+})
+
 var _ = Describe("view", func() {
 	const drainTime = 7 * time.Second
 	now := time.Now()
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -15,8 +15,11 @@
 )
 
 const (
-	// retryInterval is the pause after a failed read of the store.
-	retryInterval = 200 * time.Millisecond
+	// minRetryPause and maxRetryPause bound the pause after a failed call; it
+	// doubles with each failure in a row, because every host retries and the
+	// store counts refused calls too. Resync ends it early.
+	minRetryPause = 200 * time.Millisecond
+	maxRetryPause = 2 * time.Second
 	// expiryInterval is how often lapsed servers are looked for.
 	expiryInterval = 250 * time.Millisecond
 	// listTimeout bounds one full read.
@@ -50,6 +53,8 @@
 	mu      sync.Mutex
 	view    *view
 	changed chan struct{}
+	// resync is closed when the watches have to be opened again.
+	resync chan struct{}
 }
 
 // NewFollower returns a follower; Run starts it. drainTime is how long a server
@@ -57,7 +62,7 @@
 func NewFollower(store platform.Store, layout Layout, drainTime func() time.Duration, log *zap.Logger) *Follower {
 	f := &Follower{
 		store: store, layout: layout, drainTime: drainTime, log: log, now: time.Now,
-		view: newView(), changed: make(chan struct{}),
+		view: newView(), changed: make(chan struct{}), resync: make(chan struct{}),
 	}
 	f.current.Store(f.view.snapshot())
 	return f
@@ -99,37 +104,84 @@
 	group.Wait()
 }
 
+// Resync opens the watches again, from the last change that arrived. It is
+// called when another call found the store back, because a watch that waited
+// through an outage may never be answered.
+func (f *Follower) Resync() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.resync)
+	f.resync = make(chan struct{})
+}
+
+func (f *Follower) resyncRequested() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.resync
+}
+
+// runPrefix reads a prefix and follows its changes. A watch that ends goes on
+// from the last change that arrived; after a gap in the history everything is
+// read again.
 func (f *Follower) runPrefix(ctx context.Context, prefix string) {
-	lost := time.Time{}
+	log := f.log.With(zap.String(logging.FieldStep, "follow catalog"), zap.String("prefix", prefix))
+	var revision int64
+	var lost time.Time
+	pause := minRetryPause
 	for ctx.Err() == nil {
-		revision, err := f.readAll(ctx, prefix)
-		if err == nil {
+		resync := f.resyncRequested()
+		progress, err := f.advance(ctx, resync, prefix, &revision)
+		if ctx.Err() != nil {
+			return
+		}
+		if progress {
+			pause = minRetryPause
 			if !lost.IsZero() {
-				f.log.Info("store regained", zap.String("prefix", prefix), zap.Duration("lost_for", f.now().Sub(lost)))
+				log.Info("store regained", zap.Duration("lost_for", f.now().Sub(lost)))
 				lost = time.Time{}
 			}
-			err = f.follow(ctx, prefix, revision)
-		}
-		if ctx.Err() != nil {
-			return
 		}
-		if errors.Is(err, platform.ErrCompacted) {
-			f.log.Info("store history compacted; reading again", zap.String("prefix", prefix))
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, platform.ErrCompacted):
+			log.Info("store history compacted; reading again")
+			revision = 0
 			continue
 		}
 		if lost.IsZero() {
 			lost = f.now()
-			f.log.Warn("store lost", zap.String(logging.FieldStep, "follow catalog"),
-				zap.String("prefix", prefix), zap.Error(err))
+			log.Warn("store lost", zap.Error(err))
 		}
-		sleep(ctx, retryInterval)
+		wait(ctx, resync, pause)
+		pause = min(maxRetryPause, 2*pause)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// advance reads the prefix unless its state at a revision is known, and follows
+// its changes until the watch ends or a resync is requested. It reports whether
+// the store answered.
+func (f *Follower) advance(ctx context.Context, resync <-chan struct{}, prefix string, revision *int64) (progress bool, err error) {
+	if *revision == 0 {
+		if *revision, err = f.readAll(ctx, prefix); err != nil {
+			return false, err
+		}
+		progress = true
+	}
+	answered, err := f.follow(ctx, resync, prefix, revision)
+	return progress || answered, err
+}
+
+func sleep(ctx context.Context, d time.Duration) { wait(ctx, nil, d) }
+
+// wait pauses until d has passed, ctx ends or early is closed.
+func wait(ctx context.Context, early <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-time.After(d):
+	case <-early:
+	case <-timer.C:
 	}
 }
 
@@ -188,30 +240,44 @@
 	return keys
 }
 
-// follow applies changes from the revision after the one given until the
-// watch ends.
-func (f *Follower) follow(ctx context.Context, prefix string, revision int64) error {
+// follow applies the changes after a revision, which it keeps in step, until
+// the watch ends or a resync is requested. It reports whether the store
+// answered.
+func (f *Follower) follow(ctx context.Context, resync <-chan struct{}, prefix string, revision *int64) (answered bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	updates, err := f.store.Watch(ctx, prefix, revision+1)
+	updates, err := f.store.Watch(ctx, prefix, *revision+1)
 	if err != nil {
-		return err
+		return false, err
 	}
-	for update := range updates {
-		if update.Err != nil {
-			return update.Err
-		}
-		f.mu.Lock()
-		for _, event := range update.Events {
-			f.apply(event)
-		}
-		if !update.Asked.IsZero() {
-			f.view.confirm(prefix, update.Asked)
+	for {
+		select {
+		case <-resync:
+			return answered, nil
+		case update, open := <-updates:
+			if !open {
+				return answered, ctx.Err()
+			}
+			if update.Err != nil {
+				return answered, update.Err
+			}
+			f.applyUpdate(prefix, &update)
+			*revision = max(*revision, update.Revision)
+			answered = true
 		}
-		f.publish()
-		f.mu.Unlock()
 	}
-	return ctx.Err()
+}
+
+func (f *Follower) applyUpdate(prefix string, update *platform.WatchUpdate) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, event := range update.Events {
+		f.apply(event)
+	}
+	if !update.Asked.IsZero() {
+		f.view.confirm(prefix, update.Asked)
+	}
+	f.publish()
 }
 
 // publish makes the view visible. The caller holds the lock.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -101,6 +101,7 @@
 
 	follower := catalog.NewFollower(o.Store, o.Layout, func() time.Duration { return d.Settings().DrainTime }, d.log)
 	registry := hosts.New(hosts.Host{Name: o.Host, Domain: o.Domain, Address: o.PeerAddress}, o.Store, d.log)
+	registry.OnRegained(follower.Resync)
 	peers := peer.NewPool()
 	defer func() { _ = peers.Close() }()
 	limiter := quota.NewLimiter(quota.Options{
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -53,6 +53,8 @@
 	store platform.Store
 	log   *zap.Logger
 	now   func() time.Time
+	// regained is called when the store answers again after a failed call.
+	regained func()
 
 	mu    sync.Mutex
 	id    platform.LeaseID
@@ -72,10 +74,14 @@
 func New(self Host, store platform.Store, log *zap.Logger) *Registry {
 	return &Registry{
 		self: self, store: store, log: log, now: time.Now,
-		clock: lease.New(lease.DefaultMargin), seen: map[string]sighting{self.Name: {Host: self}},
+		regained: func() {}, clock: lease.New(lease.DefaultMargin), seen: map[string]sighting{self.Name: {Host: self}},
 	}
 }
 
+// OnRegained sets a function that is called when the store answers again after
+// a failed call. It must be set before Run.
+func (r *Registry) OnRegained(f func()) { r.regained = f }
+
 // Lease returns the host's lease and how long it remains valid.
 func (r *Registry) Lease() (platform.LeaseID, time.Duration) {
 	r.mu.Lock()
@@ -87,7 +93,7 @@
 func (r *Registry) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	items, _, err := r.store.List(ctx, Prefix)
+	items, _, err := r.store.ListStale(ctx, Prefix)
 	if err != nil {
 		return err
 	}
@@ -200,6 +206,7 @@
 		return r.now()
 	case err == nil && !lost.IsZero():
 		r.log.Info("host registration regained", zap.Duration("lost_for", r.now().Sub(lost)))
+		r.regained()
 		return time.Time{}
 	}
 	return lost
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -82,9 +82,18 @@
 }
 
 func (c *client) List(ctx context.Context, prefix string) ([]KeyValue, int64, error) {
+	return c.list(ctx, prefix, false)
+}
+
+func (c *client) ListStale(ctx context.Context, prefix string) ([]KeyValue, int64, error) {
+	return c.list(ctx, prefix, true)
+}
+
+func (c *client) list(ctx context.Context, prefix string, serializable bool) ([]KeyValue, int64, error) {
 	ctx, _, cancel := c.bounded(ctx)
 	defer cancel()
-	r, err := c.kv.Range(ctx, &pb.RangeRequest{Key: rangeStart(prefix), RangeEnd: rangeEnd(prefix)})
+	request := &pb.RangeRequest{Key: rangeStart(prefix), RangeEnd: rangeEnd(prefix), Serializable: serializable}
+	r, err := c.kv.Range(ctx, request)
 	if err != nil {
 		return nil, 0, readError("list "+prefix, err)
 	}
--- a/internal/platform/platformtest/memory.go
+++ b/internal/platform/platformtest/memory.go
@@ -147,6 +147,11 @@
 	return out, m.revision, nil
 }
 
+// ListStale implements platform.Store. The answer is always current.
+func (m *Memory) ListStale(ctx context.Context, prefix string) ([]platform.KeyValue, int64, error) {
+	return m.List(ctx, prefix)
+}
+
 // Txn implements platform.Store.
 func (m *Memory) Txn(_ context.Context, txn platform.Txn) (int64, error) {
 	m.mu.Lock()
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -99,6 +99,9 @@
 	// List returns all keys with a prefix in ascending order, and the store's
 	// revision at which they were read.
 	List(ctx context.Context, prefix string) ([]KeyValue, int64, error)
+	// ListStale is like List, but the answer may be seconds old. It costs the
+	// service less. Nothing that must not go back may depend on it.
+	ListStale(ctx context.Context, prefix string) ([]KeyValue, int64, error)
 	// Txn applies a transaction and returns its revision. Errors:
 	// ErrConflict, ErrUnavailable, ErrOutcomeUnknown, ErrTooLarge,
 	// ErrLeaseNotFound.
