Ask one host for a leader's position; count the suspended time of samples

Now one host near the primary, the same for all, samples its position, at most every 200 ms; the others ask it before their newest sample is too old. Second cause, found in reading: samples were dated by the steady clock, which stands still while a host is suspended, so an old sample could look young. They carry the suspended time now (CLOCK_BOOTTIME less CLOCK_MONOTONIC). Tests: without the source of positions the new gateway test reads at the primary; without the suspended time the new staleness test returns the old sample.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -119,19 +119,19 @@
 	if err != nil {
 		return err
 	}
-	router.Register(server)
+	defer server.Stop()
+	tracker := reach.New(o.Domain)
+	g := gateway.New(gateway.Options{
+		Catalog: follower.Snapshot, Changed: follower.Changed, Conns: router, Admission: limiter,
+		Positions: router, Domain: o.Domain, Reach: tracker, Log: d.log, Registry: o.Registry,
+	})
+	router.Register(server, g)
 	limiter.Register(server)
 	go func() {
 		if err := server.Serve(); err != nil {
 			d.log.Error("peer server ended", zap.Error(err))
 		}
 	}()
-	defer server.Stop()
-	tracker := reach.New(o.Domain)
-	g := gateway.New(gateway.Options{
-		Catalog: follower.Snapshot, Changed: follower.Changed, Conns: router, Admission: limiter,
-		Domain: o.Domain, Reach: tracker, Log: d.log, Registry: o.Registry,
-	})
 
 	promoter := promotion.New(promotion.Options{
 		Host: o.Host, Domain: o.Domain, Store: o.Store, Catalog: follower.Snapshot,
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -95,6 +95,13 @@
 	return p, age, true
 }
 
+// chooseRead returns the target of a read of the operation.
+func (op *operation) chooseRead(a *attempts) target {
+	op.renewSample()
+	g := op.gateway()
+	return g.chooseRead(g.options.Catalog(), op, a.tried, g.now())
+}
+
 // chooseRead returns the target of a read, with a nil server if none is worth
 // asking now.
 func (g *Gateway) chooseRead(snapshot *catalog.Snapshot, op *operation, tried map[string]bool, now time.Time) target {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/zeromicro/go-zero/core/syncx"
 	"go.uber.org/zap"
 
 	"github.com/bramleylever/bramleylever/internal/catalog"
@@ -31,6 +32,9 @@
 	Changed   func() <-chan struct{}
 	Conns     connpool.Source
 	Admission Admission
+	// Positions gives samples of leaders' positions; nil if the host relies on
+	// its own traffic.
+	Positions PositionSource
 	// Domain is the host's failure domain.
 	Domain string
 	// Reach learns which failure domains answer.
@@ -47,6 +51,8 @@
 	health  *health
 	stats   *stats
 	now     func() time.Time
+	// sampling joins concurrent requests for the same sample.
+	sampling syncx.SingleFlight
 
 	draining atomic.Bool
 	// served counts statements, for the sample in the log.
@@ -60,7 +66,7 @@
 func New(o Options) *Gateway {
 	return &Gateway{
 		options: o, log: o.Log, bounds: staleness.New(), health: newHealth(o.Reach),
-		stats: newStats(o.Registry), now: time.Now, sessions: map[*Session]struct{}{},
+		stats: newStats(o.Registry), now: time.Now, sampling: syncx.NewSingleFlight(), sessions: map[*Session]struct{}{},
 	}
 }
 
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -11,6 +11,7 @@
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/internal/staleness"
 	"github.com/bramleylever/bramleylever/internal/statement"
 	"github.com/bramleylever/bramleylever/position"
 )
@@ -39,6 +40,8 @@
 	// needLeader is set after a leader itself lacked the position that was
 	// asked for, which a promotion rolled back.
 	needLeader bool
+	// sampled is set once the operation has waited for a position sample.
+	sampled bool
 }
 
 // call is one statement of an operation.
@@ -69,6 +72,8 @@
 	// history is the instances asked and what they answered, at most
 	// maxHistory of them.
 	history []string
+	// reason is why the last instance was chosen.
+	reason string
 	// connecting, running and pausing is where the time went.
 	connecting time.Duration
 	running    time.Duration
@@ -81,7 +86,7 @@
 // fields describes the attempts in a log line.
 func (a *attempts) fields() []zap.Field {
 	return []zap.Field{
-		zap.Int("attempts", a.count), zap.String("last_attempt", a.last), zap.Strings("tried", a.history),
+		zap.Int("attempts", a.count), zap.String("choice", a.reason), zap.String("last_attempt", a.last), zap.Strings("tried", a.history),
 		zap.Duration("connecting", a.connecting), zap.Duration("running", a.running), zap.Duration("pausing", a.pausing),
 	}
 }
@@ -140,7 +145,7 @@
 	deadline := op.deadline(c.arrived)
 	a := &attempts{}
 	for g.now().Before(deadline) {
-		t := g.chooseRead(g.options.Catalog(), op, a.tried, g.now())
+		t := op.chooseRead(a)
 		if t.server == nil {
 			if !op.pause(a, deadline) {
 				break
@@ -208,12 +213,18 @@
 // do runs work on a connection and learns from the answer.
 func (op *operation) do(conn connpool.Handle, t target, w connpool.Work, deadline time.Time, a *attempts) (connpool.Answer, error) {
 	g := op.gateway()
+	g.stats.choice(t.reason)
+	a.reason = t.reason
+	var mark staleness.Mark
+	if t.lead {
+		mark = g.bounds.Mark()
+	}
 	sent := g.now()
 	answer, err := conn.Do(deadline, w)
 	took := g.now().Sub(sent)
 	a.running += took
 	if w.Begin != nil && !w.Begin.ReadOnly && answer.Refused == nil && !answer.Began.IsZero() {
-		op.noteLeader(t.server, sent, answer.Began)
+		g.noteLeader(t.server, mark, answer.Began)
 	}
 	if len(answer.Results) > 0 {
 		g.health.answered(t.server, took, answer.Results[0].Position, g.now())
@@ -296,13 +307,6 @@
 		zap.String(logging.FieldInstance, server.ID), zap.Error(err))
 }
 
-// noteLeader records an answer that only a leader gives.
-func (op *operation) noteLeader(server *catalog.Server, sent time.Time, p position.Position) {
-	g := op.gateway()
-	g.health.leads(server, p.Term, g.now())
-	g.bounds.Add(server.Service, sent, p)
-}
-
 // write runs a write outside a transaction. It is sent again only after an
 // answer that says that it did not run.
 func (op *operation) write(c call) statement.Result {
@@ -337,7 +341,7 @@
 		return statement.Result{}, false
 	}
 	defer conn.Release()
-	sent := g.now()
+	sent := g.bounds.Mark()
 	w := connpool.Work{Values: op.session.values, Prepared: c.prepared, Statements: []statement.Statement{c.statement}}
 	answer, err := op.do(conn, t, w, deadline, a)
 	switch {
@@ -354,7 +358,7 @@
 	}
 	result := answer.Results[0]
 	if result.Succeeded() {
-		op.noteLeader(t.server, sent, result.Position)
+		g.noteLeader(t.server, sent, result.Position)
 		op.session.committed(result.Position, g.now())
 		return result, true
 	}
--- /dev/null
+++ b/internal/gateway/sample_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// fakePositions is a PositionSource that knows the leader of a fake group.
+type fakePositions struct {
+	group *fakeGroup
+	err   error
+	age   time.Duration
+	calls atomic.Int64
+}
+
+func (f *fakePositions) Position(_ context.Context, primary *catalog.Server) (position.Position, time.Duration, error) {
+	f.calls.Add(1)
+	f.group.mu.Lock()
+	defer f.group.mu.Unlock()
+	return f.group.instances[primary.ID].position(), f.age, f.err
+}
+
+// A fleet of many hosts: this one hears from a leader less often than its
+// routes' bounds on staleness allow for.
+var _ = Describe("Positions from another host", func() {
+	var s *setting
+	var positions *fakePositions
+	BeforeEach(func() {
+		s = newSetting()
+		positions = &fakePositions{group: s.group}
+		s.gateway.options.Positions = positions
+		for _, id := range []string{"r1", "r2"} {
+			s.group.set(id, func(i *fakeInstance) { i.applied = 100 })
+		}
+	})
+
+	// Guards against a primary that is overloaded by reads that replicas could
+	// serve: 73 hosts with 8 services led nearly all reads to the primaries.
+	It("keeps reads of a host without own samples at the replicas", func() {
+		for _, database := range []string{"bounded", "own"} {
+			session := s.session(database)
+			for i := range 5 {
+				id := fmt.Sprintf("%s-%d", database, i)
+				Expect(session.handle(read(id)).Succeeded()).To(BeTrue())
+				Expect(s.group.runsOf(id)).To(Equal([]string{"r1"}))
+			}
+		}
+		Expect(positions.calls.Load()).To(Equal(int64(1)))
+	})
+
+	// Guards against a read that is older than its route allows because the time
+	// that the sample had spent at the other host was not counted.
+	It("does not use a position that was too old when it was given", func() {
+		positions.age = 2 * time.Second
+		Expect(s.session("bounded").handle(read("q")).Succeeded()).To(BeTrue())
+		Expect(s.group.runsOf("q")).To(Equal([]string{"p"}))
+	})
+
+	// Guards against reads that fail because the other host does.
+	It("asks the leader when no position is given", func() {
+		positions.err = errors.New("not reached")
+		Expect(s.session("bounded").handle(read("q")).Succeeded()).To(BeTrue())
+		Expect(s.group.runsOf("q")).To(Equal([]string{"p"}))
+	})
+
+	// Guards against reads that wait because the newest sample just expired.
+	It("renews a sample in the background before it is too old", func() {
+		positions.age = 600 * time.Millisecond
+		session := s.session("bounded")
+		Expect(session.handle(read("q1")).Succeeded()).To(BeTrue())
+		Expect(positions.calls.Load()).To(Equal(int64(1)))
+		Expect(session.handle(read("q2")).Succeeded()).To(BeTrue())
+		Eventually(positions.calls.Load).Should(Equal(int64(2)))
+		Expect(s.group.runsOf("q2")).To(Equal([]string{"r1"}))
+	})
+
+	// Guards against a leader that is asked for each host that wants a position.
+	It("gives other hosts a recent sample without asking the leader again", func() {
+		p, age, err := s.gateway.LeaderPosition(context.Background(), "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p).To(Equal(s.group.instances["p"].position()))
+		Expect(age).To(BeNumerically("<", sharedAge))
+		s.group.set("p", func(i *fakeInstance) { i.fault = unreachable })
+		_, _, err = s.gateway.LeaderPosition(context.Background(), "x")
+		Expect(err).NotTo(HaveOccurred())
+		s.gateway.now = func() time.Time { return time.Now().Add(time.Second) }
+		_, _, err = s.gateway.LeaderPosition(context.Background(), "x")
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -11,6 +11,9 @@
 	registry metrics.Registry
 	latency  metrics.Histogram
 	retries  metrics.Counter
+	// samples and sampleFailures count the requests for leaders' positions.
+	samples        metrics.Counter
+	sampleFailures metrics.Counter
 }
 
 // latencySample is the number of values that the latency histogram keeps.
@@ -21,9 +24,17 @@
 		registry: r,
 		latency:  metrics.GetOrRegisterHistogram("gateway.statement_us", r, metrics.NewUniformSample(latencySample)),
 		retries:  metrics.GetOrRegisterCounter("gateway.retries_count", r),
+
+		samples:        metrics.GetOrRegisterCounter("gateway.position_samples_count", r),
+		sampleFailures: metrics.GetOrRegisterCounter("gateway.position_sample_failures_count", r),
 	}
 }
 
+// choice counts a choice of an instance by its reason.
+func (s *stats) choice(reason string) {
+	metrics.GetOrRegisterCounter("gateway.choice_"+reason+"_count", s.registry).Inc(1)
+}
+
 func (s *stats) result(code statement.Code) {
 	name := "ok"
 	if code != statement.OK {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -9,6 +9,7 @@
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/internal/staleness"
 	"github.com/bramleylever/bramleylever/internal/statement"
 )
 
@@ -157,7 +158,7 @@
 	op := tx.op
 	w := connpool.Work{Values: op.session.values, Prepared: c.prepared, Statements: []statement.Statement{c.statement}}
 	for try := 0; ; try++ {
-		sent := op.gateway().now()
+		sent := op.gateway().bounds.Mark()
 		answer, err := op.do(tx.conn, tx.target, w, deadline, a)
 		if answer.Refused != nil {
 			return *answer.Refused, nil
@@ -168,7 +169,7 @@
 		}
 		result := answer.Results[0]
 		if result.Succeeded() && tx.target.lead && c.statement.Kind != statement.Commit {
-			op.noteLeader(tx.target.server, sent, result.Position)
+			op.gateway().noteLeader(tx.target.server, sent, result.Position)
 		}
 		again := result.Code == statement.Busy && result.State == statement.InTransaction && try < busyRetries
 		if !again {
@@ -201,12 +202,11 @@
 }
 
 func (tx *transaction) choose(a *attempts) target {
-	g := tx.op.gateway()
-	snapshot := g.options.Catalog()
 	if tx.readOnly {
-		return g.chooseRead(snapshot, tx.op, a.tried, g.now())
+		return tx.op.chooseRead(a)
 	}
-	server := g.chooseLeader(snapshot, tx.op.route.Service, a.tried, g.now())
+	g := tx.op.gateway()
+	server := g.chooseLeader(g.options.Catalog(), tx.op.route.Service, a.tried, g.now())
 	return target{server: server, lead: true, reason: reasonWrite}
 }
 
@@ -269,7 +269,7 @@
 	tx.stopIdle()
 	deadline := tx.op.deadline(c.arrived)
 	a := &attempts{}
-	sent := s.gateway.now()
+	sent := s.gateway.bounds.Mark()
 	s.tx = nil
 	var result statement.Result
 	if tx.conn == nil {
@@ -302,10 +302,10 @@
 
 // commitAnswered settles a commit that was answered. A commit that was refused
 // as not run leaves a transaction that its connection's end rolls back.
-func (tx *transaction) commitAnswered(s *Session, result statement.Result, sent time.Time) statement.Result {
+func (tx *transaction) commitAnswered(s *Session, result statement.Result, sent staleness.Mark) statement.Result {
 	if result.Succeeded() {
 		if tx.wrote {
-			tx.op.noteLeader(tx.target.server, sent, result.Position)
+			tx.op.gateway().noteLeader(tx.target.server, sent, result.Position)
 			s.committed(result.Position, s.gateway.now())
 		}
 		return result
--- /dev/null
+++ b/internal/relay/position.go
@@ -0,0 +1,57 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// Sampler tells the positions of leaders.
+type Sampler interface {
+	// LeaderPosition returns a position that the leader of a service had at most
+	// age ago.
+	LeaderPosition(ctx context.Context, service string) (p position.Position, age time.Duration, err error)
+}
+
+// samplePair is hashed in the place of an account, so that all hosts ask the
+// same one for the position of a leader.
+const samplePair = "position"
+
+// Position asks the host that samples a service, or this host's own sampler if
+// it is the one or no other is reached. The position is one that the leader had
+// at most age before the call.
+func (r *Router) Position(ctx context.Context, primary *catalog.Server) (position.Position, time.Duration, error) {
+	holder, ok := r.holder(primary, samplePair)
+	if !ok || holder.Name == r.options.Self {
+		return r.sampler.LeaderPosition(ctx, primary.Service)
+	}
+	conn, err := r.options.Peers.Conn(holder.Address)
+	if err != nil {
+		return position.Position{}, 0, outcome.At("ask for position", holder.Name, err)
+	}
+	reply, err := peerv1.NewRelayClient(conn).Position(ctx, &peerv1.PositionRequest{Service: primary.Service})
+	if err != nil {
+		// A host that answers that it has no position is reached.
+		if status.Code(err) != codes.NotFound {
+			r.failed(holder, err)
+		}
+		return position.Position{}, 0, outcome.At("ask for position", holder.Name, err)
+	}
+	return fromPosition(reply.GetPosition()), time.Duration(reply.GetAgeUs()) * time.Microsecond, nil
+}
+
+// Position implements the gRPC service.
+func (s service) Position(ctx context.Context, request *peerv1.PositionRequest) (*peerv1.PositionReply, error) {
+	p, age, err := s.router.sampler.LeaderPosition(ctx, request.GetService())
+	if err != nil {
+		return nil, status.Error(codes.NotFound, err.Error())
+	}
+	return &peerv1.PositionReply{Position: toPosition(p), AgeUs: age.Microseconds()}, nil
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -20,6 +20,7 @@
 	"github.com/bramleylever/bramleylever/internal/outcome"
 	"github.com/bramleylever/bramleylever/internal/peer"
 	"github.com/bramleylever/bramleylever/internal/statement"
+	"github.com/bramleylever/bramleylever/position"
 )
 
 func TestRelay(t *testing.T) {
@@ -76,6 +77,8 @@
 	servers []*peer.Server
 	dialErr error
 	linkErr error
+	// sampled is the hosts that gave a position.
+	sampled []string
 }
 
 type dialer struct {
@@ -94,6 +97,22 @@
 	return e, nil
 }
 
+// sampler is the Sampler of a host.
+type sampler struct {
+	fleet *fleet
+	host  string
+}
+
+func (s sampler) LeaderPosition(context.Context, string) (position.Position, time.Duration, error) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if s.fleet.dialErr != nil {
+		return position.Position{}, 0, s.fleet.dialErr
+	}
+	s.fleet.sampled = append(s.fleet.sampled, s.host)
+	return position.Position{LSN: 42}, 30 * time.Millisecond, nil
+}
+
 var server = &catalog.Server{ID: "i1", Service: "x", Domain: "d0", Started: 7}
 
 func newFleet() *fleet {
@@ -113,7 +132,7 @@
 			Peers: peers, Hosts: func() []hosts.Host { return f.hosts },
 			Catalog: func() *catalog.Snapshot { return snapshot }, Log: zap.NewNop(), Registry: registry,
 		})
-		r.Register(listener)
+		r.Register(listener, sampler{f, name})
 		go func() { _ = listener.Serve() }()
 		f.hosts = append(f.hosts, hosts.Host{Name: name, Domain: fmt.Sprintf("d%d", i/2), Address: listener.Address()})
 		f.routers = append(f.routers, r)
@@ -241,6 +260,29 @@
 		Expect(f.routers[2].avoid).To(BeEmpty())
 	})
 
+	// Guards against every host asking the leader itself for its position.
+	It("asks one host near the leader for its position", func() {
+		f := newFleet()
+		for _, r := range f.routers {
+			p, age, err := r.Position(context.Background(), server)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(p.LSN).To(Equal(position.LSN(42)))
+			Expect(age).To(Equal(30 * time.Millisecond))
+		}
+		Expect(f.sampled).To(HaveLen(4))
+		Expect(f.sampled).To(Or(HaveEach("h0"), HaveEach("h1")))
+	})
+
+	// Guards against a host that is avoided as a holder because the leader does
+	// not answer it.
+	It("does not give up a host that has no position", func() {
+		f := newFleet()
+		f.dialErr = errors.New("connection refused")
+		_, _, err := f.routers[2].Position(context.Background(), server)
+		Expect(err).To(MatchError(ContainSubstring("connection refused")))
+		Expect(f.routers[2].avoid).To(BeEmpty())
+	})
+
 	// Guards against the statements of a transaction on several connections.
 	It("keeps a transaction on one connection until it is released", func() {
 		f := newFleet()
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -56,6 +56,7 @@
 type Router struct {
 	options Options
 	now     func() time.Time
+	sampler Sampler
 	leaving atomic.Bool
 	relayed metrics.Counter
 	direct  metrics.Counter
@@ -89,8 +90,10 @@
 	}
 }
 
-// Register serves other hosts on a gRPC server.
-func (r *Router) Register(s grpc.ServiceRegistrar) {
+// Register serves other hosts on a gRPC server. The sampler tells them the
+// positions of leaders.
+func (r *Router) Register(s grpc.ServiceRegistrar, sampler Sampler) {
+	r.sampler = sampler
 	peerv1.RegisterRelayServer(s, service{router: r})
 }
 
--- a/internal/staleness/staleness.go
+++ b/internal/staleness/staleness.go
@@ -23,22 +23,42 @@
 
 // Sample is a position that the leader had at or after a time.
 type Sample struct {
+	// At is that time by the present reading of the clock: time for which the
+	// host was suspended makes it earlier.
 	At       time.Time
 	Position position.Position
 }
 
+// sample is a Sample as it was taken.
+type sample struct {
+	mark     Mark
+	position position.Position
+}
+
+func (s *sample) at(suspended time.Duration) Sample {
+	return Sample{At: s.mark.At.Add(s.mark.Suspended - suspended), Position: s.position}
+}
+
 // Bounds keeps the samples of all services. It may be used concurrently.
 type Bounds struct {
+	now       func() time.Time
+	suspended func() time.Duration
+
 	mu       sync.Mutex
-	services map[string][]Sample
+	services map[string][]sample
 }
 
 // New returns bounds without samples.
-func New() *Bounds { return &Bounds{services: map[string][]Sample{}} }
+func New() *Bounds {
+	return &Bounds{now: time.Now, suspended: suspended, services: map[string][]sample{}}
+}
+
+// Mark returns the present moment. It is taken before a request leaves.
+func (b *Bounds) Mark() Mark { return Mark{At: b.now(), Suspended: b.suspended()} }
 
 // Add records a leader's answer to a request that left at sent. It reports
 // false for an answer from a term that has ended.
-func (b *Bounds) Add(service string, sent time.Time, p position.Position) bool {
+func (b *Bounds) Add(service string, sent Mark, p position.Position) bool {
 	if p.IsZero() {
 		return true
 	}
@@ -46,53 +66,56 @@
 	defer b.mu.Unlock()
 	samples := b.services[service]
 	if len(samples) == 0 {
-		b.services[service] = []Sample{{sent, p}}
+		b.services[service] = []sample{{sent, p}}
 		return true
 	}
 	last := samples[len(samples)-1]
-	switch p.Term.Compare(last.Position.Term) {
+	switch p.Term.Compare(last.position.Term) {
 	case -1:
 		return false
 	case 1:
 		// Positions of the ended term may have been rolled back.
-		b.services[service] = []Sample{{sent, p}}
+		b.services[service] = []sample{{sent, p}}
 		return true
 	}
-	if sent.Sub(last.At) < spacing {
+	if sent.sub(last.mark) < spacing {
 		return true
 	}
-	b.services[service] = append(prune(samples, sent), Sample{sent, p})
+	b.services[service] = append(prune(samples, sent), sample{sent, p})
 	return true
 }
 
-func prune(samples []Sample, now time.Time) []Sample {
+func prune(samples []sample, now Mark) []sample {
 	first := 0
-	for first < len(samples) && now.Sub(samples[first].At) > retention {
+	for first < len(samples) && now.sub(samples[first].mark) > retention {
 		first++
 	}
 	return append(samples[:0], samples[first:]...)
 }
 
-// Term returns the highest term in which a leader answered.
-func (b *Bounds) Term(service string) position.Term {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	samples := b.services[service]
-	if len(samples) == 0 {
-		return position.Term{}
-	}
-	return samples[len(samples)-1].Position.Term
-}
-
 // At returns the oldest sample that is not older than the given time, because
 // it is the one that most replicas have reached.
 func (b *Bounds) At(service string, notBefore time.Time) (Sample, bool) {
+	suspended := b.suspended()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, s := range b.services[service] {
-		if !s.At.Before(notBefore) {
+	samples := b.services[service]
+	for i := range samples {
+		if s := samples[i].at(suspended); !s.At.Before(notBefore) {
 			return s, true
 		}
 	}
 	return Sample{}, false
 }
+
+// Newest returns the newest sample.
+func (b *Bounds) Newest(service string) (Sample, bool) {
+	suspended := b.suspended()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	samples := b.services[service]
+	if len(samples) == 0 {
+		return Sample{}, false
+	}
+	return samples[len(samples)-1].at(suspended), true
+}
--- a/internal/staleness/staleness_test.go
+++ b/internal/staleness/staleness_test.go
@@ -20,14 +20,41 @@
 	return position.Position{Term: position.Term{Epoch: term}, LSN: position.LSN(lsn)}
 }
 
+// newBounds returns bounds of a host that was never suspended.
+func newBounds() *Bounds {
+	b := New()
+	b.suspended = func() time.Duration { return 0 }
+	return b
+}
+
 var _ = Describe("Bounds", func() {
 	start := time.Now()
 
+	// Guards against a sample that looks young because the steady clock stood
+	// still while the host was suspended.
+	It("counts the time for which the host was suspended", func() {
+		b := newBounds()
+		b.Add("x", b.Mark(), at(1, 7))
+		asked := time.Now().Add(-time.Second)
+		_, ok := b.At("x", asked)
+		Expect(ok).To(BeTrue())
+		b.suspended = func() time.Duration { return 3 * time.Second }
+		_, ok = b.At("x", asked)
+		Expect(ok).To(BeFalse())
+		newest, ok := b.Newest("x")
+		Expect(ok).To(BeTrue())
+		Expect(time.Since(newest.At)).To(BeNumerically(">=", 3*time.Second))
+		b.Add("x", b.Mark(), at(1, 8))
+		s, ok := b.At("x", asked)
+		Expect(ok).To(BeTrue())
+		Expect(s.Position).To(Equal(at(1, 8)))
+	})
+
 	// Guards against a read that is older than its route allows.
 	It("returns the oldest sample that is young enough", func() {
-		b := New()
+		b := newBounds()
 		for i := range 5 {
-			b.Add("x", start.Add(time.Duration(i)*time.Second), at(1, uint64(10*i)+1))
+			b.Add("x", Mark{At: start.Add(time.Duration(i) * time.Second)}, at(1, uint64(10*i)+1))
 		}
 		s, ok := b.At("x", start.Add(1500*time.Millisecond))
 		Expect(ok).To(BeTrue())
@@ -39,13 +66,13 @@
 	// Guards against a position that a promotion rolled back, which no instance
 	// ever reaches again.
 	It("drops the samples of an ended term", func() {
-		b := New()
-		b.Add("x", start, at(1, 500))
-		b.Add("x", start.Add(time.Second), at(2, 400))
+		b := newBounds()
+		b.Add("x", Mark{At: start}, at(1, 500))
+		b.Add("x", Mark{At: start.Add(time.Second)}, at(2, 400))
 		s, ok := b.At("x", start)
 		Expect(ok).To(BeTrue())
 		Expect(s.Position).To(Equal(at(2, 400)))
-		Expect(b.Add("x", start.Add(2*time.Second), at(1, 600))).To(BeFalse())
+		Expect(b.Add("x", Mark{At: start.Add(2 * time.Second)}, at(1, 600))).To(BeFalse())
 	})
 })
 
@@ -53,7 +80,7 @@
 // sample for a time covers every commit that was acknowledged before it.
 func TestSampleCoversAcknowledgedCommits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := New()
+		b := newBounds()
 		start := time.Now()
 		var now time.Duration
 		lsn := uint64(1)
@@ -71,7 +98,7 @@
 			}
 			// The leader answers with its position at or after the request.
 			delay := time.Duration(rapid.IntRange(0, 300).Draw(t, "delay")) * time.Millisecond
-			b.Add("x", start.Add(now-delay), at(1, lsn))
+			b.Add("x", Mark{At: start.Add(now - delay)}, at(1, lsn))
 		}
 		age := time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * time.Millisecond
 		s, ok := b.At("x", start.Add(now-age))
