Exchange catalog revisions between hosts, so that watches can wait longer

Hosts now tell each other, with every relayed lease and position, the revisions of the newest changes that they know. One that stays behind for 300 ms reads again. A watch waits 250 ms for each host of the fleet, 3.5 s to 20 s, at random between the half and the whole, so that one of them ends soon. A host that hears nothing from others for 4 s watches again. In fleets of up to 14 hosts nothing changes. The state of one prefix moved to subscription.go. Tests: a dropped watch with and without hints, and hosts that tell each other.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -145,36 +145,69 @@
 	return d.Memory.Watch(ctx, prefix, from)
 }
 
-var _ = Describe("Resync", func() {
-	// Guards against a host that stays behind after an outage until its long
-	// watch ends.
-	It("opens watches again that hear nothing", func() {
-		store := &deafWatches{Memory: platformtest.NewMemory(nil)}
-		store.deaf.Store(prefixCount)
-		put := func(version int64) {
-			value, err := json.Marshal(Config{Version: version})
-			Expect(err).NotTo(HaveOccurred())
-			_, err = store.Txn(context.Background(), platform.Txn{Puts: []platform.Put{{Key: "c/config", Value: value}}})
-			Expect(err).NotTo(HaveOccurred())
+var _ = Describe("A watch that hears nothing", func() {
+	var store *deafWatches
+	var follower *Follower
+	var elapsed atomic.Int64
+	var first, second int64
+	put := func(version int64) (revision int64) {
+		value, err := json.Marshal(Config{Version: version})
+		Expect(err).NotTo(HaveOccurred())
+		revision, err = store.Txn(context.Background(), platform.Txn{Puts: []platform.Put{{Key: "c/config", Value: value}}})
+		Expect(err).NotTo(HaveOccurred())
+		return revision
+	}
+	version := func() int64 {
+		if c := follower.Snapshot().Config; c != nil {
+			return c.Version
 		}
-		put(1)
-		follower := NewFollower(store, testLayout(), func() time.Duration { return time.Second }, zap.NewNop())
+		return 0
+	}
+	BeforeEach(func() {
+		store = &deafWatches{Memory: platformtest.NewMemory(nil)}
+		store.deaf.Store(prefixCount)
+		elapsed.Store(0)
+		first = put(1)
+		follower = NewFollower(store, testLayout(), func() time.Duration { return time.Second }, zap.NewNop())
+		follower.now = func() time.Time { return time.Now().Add(time.Duration(elapsed.Load())) }
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() { defer close(done); follower.Run(ctx) }()
 		DeferCleanup(func() { cancel(); <-done })
-		version := func() int64 {
-			if c := follower.Snapshot().Config; c != nil {
-				return c.Version
-			}
-			return 0
-		}
 		Eventually(func() int64 { return store.deaf.Load() }).Should(BeZero())
-		put(2)
+		second = put(2)
 		Consistently(version, 100*time.Millisecond).Should(Equal(int64(1)))
+	})
+
+	// Guards against a host that stays behind after an outage until its long
+	// watch ends.
+	It("is opened again when the store was found back", func() {
 		follower.Resync()
 		Eventually(version).Should(Equal(int64(2)))
 	})
+
+	// Guards against a host that stays behind although the others know more: a
+	// withdrawn key was accepted for 5.7 s.
+	It("is opened again when another host knows more for a while", func() {
+		follower.Hint(Revisions{Operator: second})
+		Consistently(version, 100*time.Millisecond).Should(Equal(int64(1)))
+		elapsed.Store(int64(hintGrace))
+		follower.Hint(Revisions{Operator: second})
+		Eventually(version).Should(Equal(int64(2)))
+	})
+
+	// Guards against a host that nobody tells anything, because it has no callers.
+	It("is opened again when no other host confirms what is known", func() {
+		elapsed.Store(int64(maxSilence + time.Second))
+		Eventually(version, 2*time.Second).Should(Equal(int64(2)))
+	})
+
+	// Guards against store calls of hosts that others keep up to date.
+	It("stays open while other hosts confirm what is known", func() {
+		elapsed.Store(int64(maxSilence + time.Second))
+		follower.Hint(Revisions{Operator: first})
+		Consistently(version, 2*checkInterval).Should(Equal(int64(1)))
+	})
 })
 
 var _ = Describe("view", func() {
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,11 +14,6 @@
 )
 
 const (
-	// minRetryPause and maxRetryPause bound the pause after a failed call; it
-	// doubles with each failure in a row, because every host retries and the
-	// store counts refused calls too. Resync ends it early.
-	minRetryPause = 200 * time.Millisecond
-	maxRetryPause = 2 * time.Second
 	// expiryInterval is how often lapsed servers are looked for.
 	expiryInterval = 250 * time.Millisecond
 	// listTimeout bounds one full read.
@@ -48,13 +42,13 @@
 	log       *zap.Logger
 	now       func() time.Time
 
-	current atomic.Pointer[Snapshot]
+	current  atomic.Pointer[Snapshot]
+	operator *subscription
+	servers  *subscription
 
 	mu      sync.Mutex
 	view    *view
 	changed chan struct{}
-	// resync is closed when the watches have to be opened again.
-	resync chan struct{}
 }
 
 // NewFollower returns a follower; Run starts it. drainTime is how long a server
@@ -62,8 +56,10 @@
 func NewFollower(store platform.Store, layout Layout, drainTime func() time.Duration, log *zap.Logger) *Follower {
 	f := &Follower{
 		store: store, layout: layout, drainTime: drainTime, log: log, now: time.Now,
-		view: newView(), changed: make(chan struct{}), resync: make(chan struct{}),
+		view: newView(), changed: make(chan struct{}),
 	}
+	f.operator = newSubscription(f, layout.OperatorPrefix)
+	f.servers = newSubscription(f, layout.ServerPrefix)
 	f.current.Store(f.view.snapshot())
 	return f
 }
@@ -93,13 +89,11 @@
 	}
 }
 
-// Run follows the store until ctx ends. After a gap in the history it reads
-// everything again.
+// Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, prefix := range []string{f.layout.OperatorPrefix, f.layout.ServerPrefix} {
-		group.Go(func() { f.runPrefix(ctx, prefix) })
-	}
+	group.Go(func() { f.operator.run(ctx) })
+	group.Go(func() { f.servers.run(ctx) })
 	f.expireLoop(ctx)
 	group.Wait()
 }
@@ -108,81 +102,20 @@
 // called when another call found the store back, because a watch that waited
 // through an outage may never be answered.
 func (f *Follower) Resync() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	close(f.resync)
-	f.resync = make(chan struct{})
-}
-
-func (f *Follower) resyncRequested() <-chan struct{} {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.resync
-}
-
-// runPrefix reads a prefix and follows its changes. A watch that ends goes on
-// from the last change that arrived; after a gap in the history everything is
-// read again.
-func (f *Follower) runPrefix(ctx context.Context, prefix string) {
-	log := f.log.With(zap.String(logging.FieldStep, "follow catalog"), zap.String("prefix", prefix))
-	var revision int64
-	var lost time.Time
-	pause := minRetryPause
-	for ctx.Err() == nil {
-		resync := f.resyncRequested()
-		progress, err := f.advance(ctx, resync, prefix, &revision)
-		if ctx.Err() != nil {
-			return
-		}
-		if progress {
-			pause = minRetryPause
-			if !lost.IsZero() {
-				log.Info("store regained", zap.Duration("lost_for", f.now().Sub(lost)))
-				lost = time.Time{}
-			}
-		}
-		switch {
-		case err == nil:
-			continue
-		case errors.Is(err, platform.ErrCompacted):
-			log.Info("store history compacted; reading again")
-			revision = 0
-			continue
-		}
-		if lost.IsZero() {
-			lost = f.now()
-			log.Warn("store lost", zap.Error(err))
-		}
-		wait(ctx, resync, pause)
-		pause = min(maxRetryPause, 2*pause)
-	}
+	f.operator.requestResync()
+	f.servers.requestResync()
 }
 
-// advance reads the prefix unless its state at a revision is known, and follows
-// its changes until the watch ends or a resync is requested. It reports whether
-// the store answered.
-func (f *Follower) advance(ctx context.Context, resync <-chan struct{}, prefix string, revision *int64) (progress bool, err error) {
-	if *revision == 0 {
-		if *revision, err = f.readAll(ctx, prefix); err != nil {
-			return false, err
-		}
-		progress = true
-	}
-	answered, err := f.follow(ctx, resync, prefix, revision)
-	return progress || answered, err
+// Revisions returns the revisions of the newest changes that are known.
+func (f *Follower) Revisions() Revisions {
+	return Revisions{Operator: f.operator.newestRevision(), Servers: f.servers.newestRevision()}
 }
 
-func sleep(ctx context.Context, d time.Duration) { wait(ctx, nil, d) }
-
-// wait pauses until d has passed, ctx ends or early is closed.
-func wait(ctx context.Context, early <-chan struct{}, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-early:
-	case <-timer.C:
-	}
+// Hint takes over what another host knows. A host that stays behind opens its
+// watch again.
+func (f *Follower) Hint(r Revisions) {
+	f.operator.hint(r.Operator)
+	f.servers.hint(r.Servers)
 }
 
 func (f *Follower) expireLoop(ctx context.Context) {
@@ -196,15 +129,8 @@
 	}
 }
 
-// readAll reads all keys below a prefix and returns the revision to watch from.
-func (f *Follower) readAll(ctx context.Context, prefix string) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	asked := f.now()
-	items, revision, err := f.store.List(ctx, prefix)
-	if err != nil {
-		return 0, err
-	}
+// replace takes all keys below a prefix over, as they were when asked.
+func (f *Follower) replace(prefix string, items []platform.KeyValue, asked time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	present := map[string]bool{}
@@ -219,7 +145,6 @@
 	}
 	f.view.confirm(prefix, asked)
 	f.publish()
-	return revision, nil
 }
 
 // keys returns the keys below a prefix that the view holds and that may be
@@ -240,35 +165,8 @@
 	return keys
 }
 
-// follow applies the changes after a revision, which it keeps in step, until
-// the watch ends or a resync is requested. It reports whether the store
-// answered.
-func (f *Follower) follow(ctx context.Context, resync <-chan struct{}, prefix string, revision *int64) (answered bool, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	updates, err := f.store.Watch(ctx, prefix, *revision+1)
-	if err != nil {
-		return false, err
-	}
-	for {
-		select {
-		case <-resync:
-			return answered, nil
-		case update, open := <-updates:
-			if !open {
-				return answered, ctx.Err()
-			}
-			if update.Err != nil {
-				return answered, update.Err
-			}
-			f.applyUpdate(prefix, &update)
-			*revision = max(*revision, update.Revision)
-			answered = true
-		}
-	}
-}
-
-func (f *Follower) applyUpdate(prefix string, update *platform.WatchUpdate) {
+// update takes the changes of one revision over.
+func (f *Follower) update(prefix string, update *platform.WatchUpdate) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, event := range update.Events {
--- /dev/null
+++ b/internal/catalog/subscription.go
@@ -0,0 +1,265 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/platform"
+)
+
+const (
+	// minRetryPause and maxRetryPause bound the pause after a failed call; it
+	// doubles with each failure in a row, because every host retries and the
+	// store counts refused calls too. Resync ends it early.
+	minRetryPause = 200 * time.Millisecond
+	maxRetryPause = 2 * time.Second
+	// hintGrace is how long a host may know less than another before it opens
+	// its watch again; the change is usually under way.
+	hintGrace = 300 * time.Millisecond
+	// checkInterval is how often a watch is checked for silence, and maxSilence
+	// how long neither the store nor another host may have confirmed what is
+	// known: the store may drop a watch without a word.
+	checkInterval = 500 * time.Millisecond
+	maxSilence    = 4 * time.Second
+)
+
+// Revisions are the store's revisions of the newest changes that a host knows.
+// Hosts exchange them, so that one whose watch was dropped learns of it from
+// any other.
+type Revisions struct {
+	Operator int64
+	Servers  int64
+}
+
+// subscription follows the changes of one prefix.
+type subscription struct {
+	follower *Follower
+	prefix   string
+	log      *zap.Logger
+	// reopen asks for a new watch because another host knows more.
+	reopen chan struct{}
+
+	mu sync.Mutex
+	// known is the revision up to which all changes arrived; 0 before the first
+	// read. newest is the revision of the newest change.
+	known  int64
+	newest int64
+	// heard is when what is known was last confirmed, and behind since when
+	// another host is known to know more.
+	heard  time.Time
+	behind time.Time
+	// resync is closed when the store was found back.
+	resync chan struct{}
+}
+
+func newSubscription(f *Follower, prefix string) *subscription {
+	return &subscription{
+		follower: f, prefix: prefix, reopen: make(chan struct{}, 1), resync: make(chan struct{}),
+		log: f.log.With(zap.String(logging.FieldStep, "follow catalog"), zap.String("prefix", prefix)),
+	}
+}
+
+// requestResync opens the watch again and ends a pause between retries.
+func (s *subscription) requestResync() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.resync)
+	s.resync = make(chan struct{})
+}
+
+func (s *subscription) resyncRequested() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.resync
+}
+
+// hint takes over the revision of the newest change that another host knows.
+func (s *subscription) hint(revision int64) {
+	now := s.follower.now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case revision <= s.known:
+		s.behind = time.Time{}
+		if revision >= s.newest {
+			s.heard = now
+		}
+	case s.behind.IsZero():
+		s.behind = now
+	case now.Sub(s.behind) >= hintGrace:
+		s.behind = now
+		select {
+		case s.reopen <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (s *subscription) newestRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest
+}
+
+// advanceTo records that all changes up to a revision arrived, the newest of
+// them at the other revision.
+func (s *subscription) advanceTo(known, newest int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known, s.newest = max(s.known, known), max(s.newest, newest)
+	s.heard = s.follower.now()
+}
+
+func (s *subscription) knownRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known
+}
+
+// forget makes the prefix be read again.
+func (s *subscription) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known = 0
+}
+
+func (s *subscription) silence() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.follower.now().Sub(s.heard)
+}
+
+// run reads the prefix and follows its changes until ctx ends. A watch that
+// ends goes on from the last change that arrived; after a gap in the history
+// everything is read again.
+func (s *subscription) run(ctx context.Context) {
+	var lost time.Time
+	pause := minRetryPause
+	for ctx.Err() == nil {
+		resync := s.resyncRequested()
+		answered, err := s.advance(ctx, resync)
+		if ctx.Err() != nil {
+			return
+		}
+		if answered {
+			pause = minRetryPause
+			if !lost.IsZero() {
+				s.log.Info("store regained", zap.Duration("lost_for", s.follower.now().Sub(lost)))
+				lost = time.Time{}
+			}
+		}
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, platform.ErrCompacted):
+			s.log.Info("store history compacted; reading again")
+			s.forget()
+			continue
+		}
+		if lost.IsZero() {
+			lost = s.follower.now()
+			s.log.Warn("store lost", zap.Error(err))
+		}
+		wait(ctx, resync, pause)
+		pause = min(maxRetryPause, 2*pause)
+	}
+}
+
+// advance reads the prefix unless its state at a revision is known, and follows
+// its changes until the watch ends or has to be opened again. It reports
+// whether the store answered.
+func (s *subscription) advance(ctx context.Context, resync <-chan struct{}) (answered bool, err error) {
+	read := s.knownRevision() == 0
+	if read {
+		if err := s.readAll(ctx); err != nil {
+			return false, err
+		}
+	}
+	answered, err = s.follow(ctx, resync)
+	return read || answered, err
+}
+
+// readAll reads all keys below the prefix.
+func (s *subscription) readAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	asked := s.follower.now()
+	items, revision, err := s.follower.store.List(ctx, s.prefix)
+	if err != nil {
+		return err
+	}
+	var newest int64
+	for i := range items {
+		newest = max(newest, items[i].ModRevision)
+	}
+	s.follower.replace(s.prefix, items, asked)
+	s.advanceTo(revision, newest)
+	return nil
+}
+
+// follow applies the changes after the known revision until the watch ends or
+// has to be opened again. It reports whether the store answered.
+func (s *subscription) follow(ctx context.Context, resync <-chan struct{}) (answered bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	select {
+	case <-s.reopen:
+	default:
+	}
+	updates, err := s.follower.store.Watch(ctx, s.prefix, s.knownRevision()+1)
+	if err != nil {
+		return false, err
+	}
+	opened := s.follower.now()
+	check := time.NewTicker(checkInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-resync:
+			return answered, nil
+		case <-s.reopen:
+			s.log.Info("another host knows more; watching again")
+			return answered, nil
+		case <-check.C:
+			if s.silence() > maxSilence && s.follower.now().Sub(opened) > maxSilence {
+				return answered, nil
+			}
+		case update, open := <-updates:
+			if !open {
+				return answered, ctx.Err()
+			}
+			if update.Err != nil {
+				return answered, update.Err
+			}
+			s.follower.update(s.prefix, &update)
+			s.take(&update)
+			answered = true
+		}
+	}
+}
+
+func (s *subscription) take(update *platform.WatchUpdate) {
+	newest := int64(0)
+	if len(update.Events) > 0 {
+		newest = update.Revision
+	}
+	s.advanceTo(update.Revision, newest)
+}
+
+func sleep(ctx context.Context, d time.Duration) { wait(ctx, nil, d) }
+
+// wait pauses until d has passed, ctx ends or early is closed.
+func wait(ctx context.Context, early <-chan struct{}, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-early:
+	case <-timer.C:
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -77,6 +78,8 @@
 	// isolated is set while no other failure domain answers.
 	isolated atomic.Bool
 	current  atomic.Pointer[Reloadable]
+	// hosts is set by Run.
+	hosts atomic.Pointer[hosts.Registry]
 }
 
 // New returns a daemon that does nothing until Run is called.
@@ -92,6 +95,30 @@
 // Reload takes changed settings over.
 func (d *Daemon) Reload(r Reloadable) { d.current.Store(&r) }
 
+const (
+	// watchPerHost is the length of a watch for each host of the fleet: with
+	// watches that end at different times one of them ends every watchPerHost on
+	// average, and what its host learns then reaches the others by hints.
+	watchPerHost = 250 * time.Millisecond
+	// minWatch is the length of a watch whose host hears nothing from others. A
+	// configuration has to be in force 3 s after the store is stable again, which
+	// itself takes 4 s.
+	minWatch = 3500 * time.Millisecond
+	maxWatch = 20 * time.Second
+)
+
+// WatchTime returns how long the next watch of the store waits for a change.
+// It varies, so that the watches of a fleet do not end together.
+func (d *Daemon) WatchTime() time.Duration {
+	registry := d.hosts.Load()
+	if registry == nil {
+		return minWatch
+	}
+	known, _ := registry.Live()
+	limit := min(maxWatch, time.Duration(known)*watchPerHost)
+	return max(minWatch, limit/2+rand.N(limit/2+1))
+}
+
 // Run serves until ctx ends, then stops gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	o := d.options
@@ -102,6 +129,7 @@
 	follower := catalog.NewFollower(o.Store, o.Layout, func() time.Duration { return d.Settings().DrainTime }, d.log)
 	registry := hosts.New(hosts.Host{Name: o.Host, Domain: o.Domain, Address: o.PeerAddress}, o.Store, d.log)
 	registry.OnRegained(follower.Resync)
+	d.hosts.Store(registry)
 	peers := peer.NewPool()
 	defer func() { _ = peers.Close() }()
 	limiter := quota.NewLimiter(quota.Options{
@@ -113,7 +141,7 @@
 	pool := connpool.New(connpool.Config{Dialer: o.Dialer, IdleTime: idleTime, Registry: o.Registry})
 	router := relay.NewRouter(relay.Options{
 		Self: o.Host, Pool: pool, Peers: peers, Hosts: registry.Hosts, Catalog: follower.Snapshot,
-		Log: d.log, Registry: o.Registry,
+		Revisions: follower.Revisions, Hint: follower.Hint, Log: d.log, Registry: o.Registry,
 	})
 	server, err := peer.Listen(o.PeerAddress, o.Registry)
 	if err != nil {
--- a/internal/relay/position.go
+++ b/internal/relay/position.go
@@ -36,7 +36,9 @@
 	if err != nil {
 		return position.Position{}, 0, outcome.At("ask for position", holder.Name, err)
 	}
-	reply, err := peerv1.NewRelayClient(conn).Position(ctx, &peerv1.PositionRequest{Service: primary.Service})
+	reply, err := peerv1.NewRelayClient(conn).Position(ctx, &peerv1.PositionRequest{
+		Service: primary.Service, Revisions: toRevisions(r.options.Revisions()),
+	})
 	if err != nil {
 		// A host that answers that it has no position is reached.
 		if status.Code(err) != codes.NotFound {
@@ -44,14 +46,19 @@
 		}
 		return position.Position{}, 0, outcome.At("ask for position", holder.Name, err)
 	}
+	r.options.Hint(fromRevisions(reply.GetRevisions()))
 	return fromPosition(reply.GetPosition()), time.Duration(reply.GetAgeUs()) * time.Microsecond, nil
 }
 
 // Position implements the gRPC service.
 func (s service) Position(ctx context.Context, request *peerv1.PositionRequest) (*peerv1.PositionReply, error) {
-	p, age, err := s.router.sampler.LeaderPosition(ctx, request.GetService())
+	r := s.router
+	r.options.Hint(fromRevisions(request.GetRevisions()))
+	p, age, err := r.sampler.LeaderPosition(ctx, request.GetService())
 	if err != nil {
 		return nil, status.Error(codes.NotFound, err.Error())
 	}
-	return &peerv1.PositionReply{Position: toPosition(p), AgeUs: age.Microseconds()}, nil
+	return &peerv1.PositionReply{
+		Position: toPosition(p), AgeUs: age.Microseconds(), Revisions: toRevisions(r.options.Revisions()),
+	}, nil
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -79,6 +79,9 @@
 	linkErr error
 	// sampled is the hosts that gave a position.
 	sampled []string
+	// revisions is what each host knows, and hints what hosts were told.
+	revisions map[string]catalog.Revisions
+	hints     map[string]catalog.Revisions
 }
 
 type dialer struct {
@@ -116,7 +119,7 @@
 var server = &catalog.Server{ID: "i1", Service: "x", Domain: "d0", Started: 7}
 
 func newFleet() *fleet {
-	f := &fleet{links: map[string][]*echo{}}
+	f := &fleet{links: map[string][]*echo{}, revisions: map[string]catalog.Revisions{}, hints: map[string]catalog.Revisions{}}
 	snapshot := &catalog.Snapshot{
 		Config: &catalog.Config{}, Servers: map[string]*catalog.Server{"i1": server}, Complete: true,
 	}
@@ -130,7 +133,14 @@
 			Self:  name,
 			Pool:  connpool.New(connpool.Config{Dialer: dialer{f, name}, IdleTime: time.Minute, Registry: registry}),
 			Peers: peers, Hosts: func() []hosts.Host { return f.hosts },
-			Catalog: func() *catalog.Snapshot { return snapshot }, Log: zap.NewNop(), Registry: registry,
+			Catalog:   func() *catalog.Snapshot { return snapshot },
+			Revisions: func() catalog.Revisions { return f.revisions[name] },
+			Hint: func(r catalog.Revisions) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.hints[name] = r
+			},
+			Log: zap.NewNop(), Registry: registry,
 		})
 		r.Register(listener, sampler{f, name})
 		go func() { _ = listener.Serve() }()
@@ -273,6 +283,21 @@
 		Expect(f.sampled).To(Or(HaveEach("h0"), HaveEach("h1")))
 	})
 
+	// Guards against a host whose watch was dropped and that learns of no change
+	// until its watch ends.
+	It("tells the other host how much of the catalog is known", func() {
+		f := newFleet()
+		for i, r := range f.routers {
+			f.revisions[r.options.Self] = catalog.Revisions{Operator: int64(10 + i), Servers: int64(20 + i)}
+		}
+		at, err := f.do(2, "a")
+		Expect(err).NotTo(HaveOccurred())
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		Expect(f.hints["h2"]).To(Equal(f.revisions[at]))
+		Expect(f.hints[at]).To(Equal(f.revisions["h2"]))
+	})
+
 	// Guards against a host that is avoided as a holder because the leader does
 	// not answer it.
 	It("does not give up a host that has no position", func() {
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -59,7 +59,10 @@
 			m.router.failed(m.holder, err)
 			return connpool.Answer{}, m.unreached(fmt.Errorf("%w: %w", outcome.ErrNotRun, err))
 		}
-		request.Open = &peerv1.LeaseOpen{ServerId: m.server.ID, Started: m.server.Started, Account: m.account}
+		request.Open = &peerv1.LeaseOpen{
+			ServerId: m.server.ID, Started: m.server.Started, Account: m.account,
+			Revisions: toRevisions(m.router.options.Revisions()),
+		}
 	}
 	timer := time.AfterFunc(time.Until(deadline)+replySlack, m.cancel)
 	defer timer.Stop()
@@ -85,6 +88,9 @@
 // settle turns a reply into an answer or an error.
 func (m *remote) settle(reply *peerv1.LeaseReply) (connpool.Answer, error) {
 	answer := fromReply(reply)
+	if reply.GetRevisions() != nil {
+		m.router.options.Hint(fromRevisions(reply.GetRevisions()))
+	}
 	if reply.GetLeaving() {
 		m.router.left(m.holder)
 		return answer, m.unreached(fmt.Errorf("%w: %s", outcome.ErrNotRun, reply.GetError()))
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -46,7 +46,11 @@
 	Peers   *peer.Pool
 	Hosts   func() []hosts.Host
 	Catalog func() *catalog.Snapshot
-	Log     *zap.Logger
+	// Revisions and Hint exchange with other hosts how much of the catalog is
+	// known.
+	Revisions func() catalog.Revisions
+	Hint      func(catalog.Revisions)
+	Log       *zap.Logger
 	// Registry receives the metrics.
 	Registry metrics.Registry
 }
