--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -136,17 +136,6 @@
 	}
 }
 
-// AcquireAny returns an idle connection of any account, or opens one for the
-// account given. It serves statements that are no caller's.
-func (p *Pool) AcquireAny(ctx context.Context, server *catalog.Server, account string, limit Limit) (*Conn, error) {
-	p.mu.Lock()
-	if in := p.instances[key(server)]; in != nil && len(in.idle) > 0 {
-		account = in.idle[len(in.idle)-1].Account
-	}
-	p.mu.Unlock()
-	return p.Acquire(ctx, server, account, nil, limit)
-}
-
 // canWait reports whether a connection of this host may become free.
 func (p *Pool) canWait(server *catalog.Server) bool {
 	p.mu.Lock()
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -37,7 +37,6 @@
 	reasonNoSample     = "no_position_sample"
 	reasonReplica      = "replica_in_bound"
 	reasonPrimaryBound = "primary_in_bound"
-	reasonLagging      = "replicas_lag"
 )
 
 // chooseLeader returns the instance to ask for work that only a leader may
