Take hosts without peers out of the list of hosts

Now a host of a large fleet that reaches no other leaves the list, keeps its lease and gives its parts back; the next in rank hold them. In small fleets nothing changes: there each host serves by itself.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -190,7 +190,7 @@
 		defer close(registered)
 		registry.Run(ctx)
 	}()
-	go d.watchReach(background, reached, g, registry.Hosts, router)
+	go d.watchReach(background, reached, g, registry, router)
 	if follower.WaitReady(ctx) == nil {
 		limiter.WaitAdopted(ctx)
 		d.ready.Store(true)
--- a/internal/edge/isolation.go
+++ b/internal/edge/isolation.go
@@ -30,15 +30,20 @@
 	fleet func() int
 }
 
-// isolated reports whether no other failure domain is reached, or no other host
-// of a fleet in which most work passes through others.
-func (i *isolation) isolated() bool {
-	return i.domains.Isolated() || i.fleet() > quota.SmallFleet && i.peers.Isolated()
+// isolated reports whether no other failure domain is reached, or the host is
+// without peers.
+func (i *isolation) isolated() bool { return i.domains.Isolated() || i.withoutPeers() }
+
+// withoutPeers reports whether no other host is reached in a fleet in which most
+// work passes through others.
+func (i *isolation) withoutPeers() bool {
+	return i.fleet() > quota.SmallFleet && i.peers.Isolated()
 }
 
 // watchReach turns the host not ready while it is isolated, and closes idle
-// sessions once callers are led elsewhere.
-func (d *Daemon) watchReach(ctx context.Context, reached *isolation, g *gateway.Gateway, all func() []hosts.Host, router *relay.Router) {
+// sessions once callers are led elsewhere. A host without peers also leaves the
+// list of hosts, so that others take over what it holds.
+func (d *Daemon) watchReach(ctx context.Context, reached *isolation, g *gateway.Gateway, registry *hosts.Registry, router *relay.Router) {
 	ticker := time.NewTicker(reachInterval)
 	defer ticker.Stop()
 	since := time.Now()
@@ -48,6 +53,7 @@
 			return
 		case <-ticker.C:
 		}
+		registry.SetWithdrawn(reached.withoutPeers())
 		isolated := reached.isolated()
 		if isolated != d.isolated.Load() {
 			d.isolated.Store(isolated)
@@ -60,7 +66,7 @@
 		if time.Since(since) >= removalTime {
 			g.CloseIdle()
 		}
-		probe(ctx, reached.domains, d.options.Domain, all(), router)
+		probe(ctx, reached.domains, d.options.Domain, registry.Hosts(), router)
 	}
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -303,6 +303,30 @@
 		Expect(writes() - before).To(BeNumerically("<=", 2*renewals))
 	})
 
+	// Guards against a limit that lies idle at a host that left the list of hosts.
+	It("gives its part back when it is no holder any more", func() {
+		f := newFleet(SmallFleet+3, 60)
+		for range 500 {
+			f.step(20*time.Millisecond, nil)
+		}
+		held := func() (names []string) {
+			for _, l := range f.limiters {
+				if l.account("a").fraction > 0 {
+					names = append(names, l.options.Host)
+				}
+			}
+			return names
+		}
+		before := held()
+		Expect(before).To(HaveLen(fewHolders))
+		f.absent = map[string]bool{before[0]: true}
+		for range 600 {
+			f.step(20*time.Millisecond, nil)
+		}
+		Expect(held()).To(HaveLen(fewHolders))
+		Expect(held()).NotTo(ContainElement(before[0]))
+	})
+
 	// Guards against holdings that are never renewed because too many documents
 	// are due at once.
 	It("splits what does not fit into one transaction", func() {
--- a/internal/quota/record.go
+++ b/internal/quota/record.go
@@ -105,7 +105,7 @@
 	for name, a := range l.accounts {
 		shard := shardOf(name)
 		a.equal = l.holdsEqually(name)
-		if a.urgent(now) || renew && a.stale(l.ledgers[shard].others(name, l.options.Host), now) {
+		if a.urgent(now) || renew && a.fraction > 0 && !l.holds(name) || renew && a.stale(l.ledgers[shard].others(name, l.options.Host), now) {
 			shards |= 1 << shard
 		}
 	}
