Confirm the isolation of a host by pings before it turns away callers

Causes, found in reading: three operations in flight at one holder that stops made a host with little traffic look cut off from all peers; and a host whose sampler is silent asked it again for each read without a sample, 120 ms each. Now a host that looks isolated pings others first, and a sampler that is late is pinged and given up if it does not answer.

--- a/internal/edge/isolation.go
+++ b/internal/edge/isolation.go
@@ -53,20 +53,21 @@
 			return
 		case <-ticker.C:
 		}
-		registry.SetWithdrawn(reached.withoutPeers())
 		isolated := reached.isolated()
+		if isolated {
+			// The failures may all be those of one peer.
+			probe(ctx, reached.domains, d.options.Domain, registry.Hosts(), router)
+			isolated = reached.isolated()
+		}
+		registry.SetWithdrawn(reached.withoutPeers())
 		if isolated != d.isolated.Load() {
 			d.isolated.Store(isolated)
 			d.log.Warn("reach of other hosts and failure domains", zap.Bool("isolated", isolated), zap.Duration("after", time.Since(since)))
 			since = time.Now()
 		}
-		if !isolated {
-			continue
-		}
-		if time.Since(since) >= removalTime {
+		if isolated && time.Since(since) >= removalTime {
 			g.CloseIdle()
 		}
-		probe(ctx, reached.domains, d.options.Domain, registry.Hosts(), router)
 	}
 }
 
--- a/internal/relay/position.go
+++ b/internal/relay/position.go
@@ -9,6 +9,7 @@
 
 	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
 	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/outcome"
 	"github.com/bramleylever/bramleylever/position"
 )
@@ -44,17 +45,28 @@
 		Service: primary.Service, Revisions: toRevisions(r.options.Revisions()),
 	})
 	if err != nil {
-		// A host that is late may wait for the leader; only one that is not
-		// reached is given up.
-		if status.Code(err) == codes.Unavailable {
-			r.failed(holder, err)
-		}
+		r.judge(holder, err)
 		return position.Position{}, 0, outcome.At("ask for position", holder.Name, err)
 	}
 	r.options.Hint(fromRevisions(reply.GetRevisions()))
 	return fromPosition(reply.GetPosition()), time.Duration(reply.GetAgeUs()) * time.Microsecond, nil
 }
 
+// judge gives a host up that did not answer a request for a position, unless it
+// only waits for the leader.
+func (r *Router) judge(holder hosts.Host, err error) {
+	switch status.Code(err) {
+	case codes.Unavailable:
+		r.failed(holder, err)
+	case codes.DeadlineExceeded:
+		go func() {
+			if err := r.Ping(context.Background(), holder); err != nil {
+				r.failed(holder, err)
+			}
+		}()
+	}
+}
+
 // Position implements the gRPC service.
 func (s service) Position(ctx context.Context, request *peerv1.PositionRequest) (*peerv1.PositionReply, error) {
 	r := s.router
