--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -53,7 +53,6 @@
 type Options struct {
 	Host   string
 	Domain string
-	// Grace is the time from the stop signal to the end of the process.
 	// PeerAddress is where other hosts reach this one.
 	PeerAddress string
 	Reloadable
--- a/internal/quota/record.go
+++ b/internal/quota/record.go
@@ -105,7 +105,7 @@
 	for name, a := range l.accounts {
 		shard := shardOf(name)
 		a.equal = l.holdsEqually(name)
-		if a.urgent(now) || renew && a.fraction > 0 && !l.holds(name) || renew && a.stale(l.ledgers[shard].others(name, l.options.Host), now) {
+		if l.mustWrite(name, a, renew, now) {
 			shards |= 1 << shard
 		}
 	}
@@ -116,6 +116,20 @@
 	return fitting
 }
 
+// mustWrite reports whether the holding of an account has to be written: at once
+// if it is too small, else when holdings are renewed.
+func (l *Limiter) mustWrite(name string, a *account, renew bool, now time.Time) bool {
+	switch {
+	case a.urgent(now):
+		return true
+	case !renew:
+		return false
+	case a.fraction > 0 && !l.holds(name):
+		return true
+	}
+	return a.stale(l.ledgers[shardOf(name)].others(name, l.options.Host), now)
+}
+
 // write records the holdings of some shards that suit the demand.
 func (l *Limiter) write(ctx context.Context, shards shardSet) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
