Renew position samples at three quarters of the bound

A host now asks at three quarters of the route's bound instead of the half; reads still wait only if no sample is left.

--- a/internal/gateway/sample.go
+++ b/internal/gateway/sample.go
@@ -24,7 +24,7 @@
 	sampleTimeout = 120 * time.Millisecond
 	// renewPart is the part of a route's bound at which the newest sample is
 	// renewed while reads still use it.
-	renewPart = 2
+	renewPart = 0.75
 )
 
 // ErrNoLeader marks a service without an instance that is worth asking to lead.
@@ -103,7 +103,7 @@
 	newest, ok := g.bounds.Newest(op.route.Service)
 	age := now.Sub(newest.At)
 	switch {
-	case ok && age < op.route.MaxStaleness/renewPart:
+	case ok && age < time.Duration(renewPart*float64(op.route.MaxStaleness)):
 	case ok && age < op.route.MaxStaleness-stalenessMargin-sampleTimeout:
 		go g.fetchSample(op.route.Service)
 	case !op.sampled:
