Trust only reads and changes in hints; date samples by the earlier time; keep hosts listed

A watch that ended without a change moved its host past a change that the store had passed over, so hints of other hosts looked like confirmations. Hints are now compared with what a read or a change proved; the new test fails on the code before. 2. Found in reading: the suspended time of a sample was read from two clocks; a process that lost the processor between the two readings, which hosts of 0.192 of a core do for tens of milliseconds, dated its sample too late. A sample now takes the least suspension that is possible and its use the most.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -197,6 +197,17 @@
 		Eventually(version).Should(Equal(int64(2)))
 	})
 
+	// Guards against a host that misses a change for good: its watch ended while
+	// the store passed over the change, at a later revision. A withdrawn key was
+	// accepted for 5.6 s although the other hosts knew better.
+	It("reads again although a watch went past the change", func() {
+		follower.operator.noteUpdate(&platform.WatchUpdate{Revision: second})
+		follower.Hint(Revisions{Operator: second})
+		elapsed.Store(int64(hintGrace))
+		follower.Hint(Revisions{Operator: second})
+		Eventually(version).Should(Equal(int64(2)))
+	})
+
 	// Guards against a host that never catches up: its slow link took longer for
 	// the missed changes than the time between two hints, each of which ended the
 	// watch. It handled requests as an older configuration for 5 s.
--- a/internal/catalog/subscription.go
+++ b/internal/catalog/subscription.go
@@ -49,10 +49,14 @@
 	reread chan struct{}
 
 	mu sync.Mutex
-	// known is the revision up to which all changes arrived; 0 before the first
-	// read. newest is the revision of the newest change.
-	known  int64
-	newest int64
+	// next is the revision from which a watch goes on; 0 before the first read.
+	next int64
+	// newest is the revision of the newest change that arrived. covered is the
+	// revision up to which changes certainly arrived: that of a read or of a
+	// change. A watch that ends without a change proves nothing, because the
+	// store may have passed over changes while it dropped its history.
+	newest  int64
+	covered int64
 	// heard is when what is known was last confirmed, and behind since when
 	// another host is known to know more.
 	heard  time.Time
@@ -88,7 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case revision <= s.known:
+	case revision <= s.covered:
 		s.behind = time.Time{}
 		if revision >= s.newest {
 			s.heard = now
@@ -110,26 +114,37 @@
 	return s.newest
 }
 
-// advanceTo records that all changes up to a revision arrived, the newest of
-// them at the other revision.
-func (s *subscription) advanceTo(known, newest int64) {
+// noteRead records a read of all keys as of a revision.
+func (s *subscription) noteRead(asOf, newest int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.known, s.newest = max(s.known, known), max(s.newest, newest)
+	s.next = asOf + 1
+	s.covered, s.newest = max(s.covered, asOf), max(s.newest, newest)
 	s.heard = s.follower.now()
 }
 
-func (s *subscription) knownRevision() int64 {
+// noteUpdate records what a watch delivered.
+func (s *subscription) noteUpdate(update *platform.WatchUpdate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.known
+	s.next = max(s.next, update.Revision+1)
+	if len(update.Events) > 0 {
+		s.covered, s.newest = max(s.covered, update.Revision), max(s.newest, update.Revision)
+	}
+	s.heard = s.follower.now()
+}
+
+func (s *subscription) nextRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.next
 }
 
 // forget makes the prefix be read again.
 func (s *subscription) forget() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.known = 0
+	s.next = 0
 }
 
 func (s *subscription) silence() time.Duration {
@@ -177,11 +192,11 @@
 	}
 }
 
-// advance reads the prefix unless its state at a revision is known, and follows
+// advance reads the prefix unless a watch can go on, and follows
 // its changes until the watch ends or has to be opened again. It reports
 // whether the store answered.
 func (s *subscription) advance(ctx context.Context, resync <-chan struct{}) (answered bool, err error) {
-	read := s.knownRevision() == 0
+	read := s.nextRevision() == 0
 	if read {
 		if err := s.readAll(ctx); err != nil {
 			return false, err
@@ -205,11 +220,11 @@
 		newest = max(newest, items[i].ModRevision)
 	}
 	s.follower.replace(s.prefix, items, asked)
-	s.advanceTo(revision, newest)
+	s.noteRead(revision, newest)
 	return nil
 }
 
-// follow applies the changes after the known revision until the watch ends or
+// follow applies the changes from the next revision on until the watch ends or
 // has to be opened again. It reports whether the store answered.
 func (s *subscription) follow(ctx context.Context, resync <-chan struct{}) (answered bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -218,7 +233,7 @@
 	case <-s.reread:
 	default:
 	}
-	updates, err := s.follower.store.Watch(ctx, s.prefix, s.knownRevision()+1)
+	updates, err := s.follower.store.Watch(ctx, s.prefix, s.nextRevision())
 	if err != nil {
 		return false, err
 	}
@@ -247,20 +262,12 @@
 				return answered, update.Err
 			}
 			s.follower.update(s.prefix, &update)
-			s.take(&update)
+			s.noteUpdate(&update)
 			answered = true
 		}
 	}
 }
 
-func (s *subscription) take(update *platform.WatchUpdate) {
-	newest := int64(0)
-	if len(update.Events) > 0 {
-		newest = update.Revision
-	}
-	s.advanceTo(update.Revision, newest)
-}
-
 func sleep(ctx context.Context, d time.Duration) { wait(ctx, nil, d) }
 
 // wait pauses until d has passed, ctx ends or early is closed.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -189,7 +189,7 @@
 		defer close(registered)
 		registry.Run(ctx)
 	}()
-	go d.watchReach(background, reached, g, registry, router)
+	go d.watchReach(background, reached, g, registry.Hosts, router)
 	if follower.WaitReady(ctx) == nil {
 		limiter.WaitAdopted(ctx)
 		d.ready.Store(true)
--- a/internal/edge/isolation.go
+++ b/internal/edge/isolation.go
@@ -30,20 +30,15 @@
 	fleet func() int
 }
 
-// isolated reports whether no other failure domain is reached, or the host is
-// without peers.
-func (i *isolation) isolated() bool { return i.domains.Isolated() || i.withoutPeers() }
-
-// withoutPeers reports whether no other host is reached in a fleet in which most
-// work passes through others.
-func (i *isolation) withoutPeers() bool {
-	return i.fleet() > quota.SmallFleet && i.peers.Isolated()
+// isolated reports whether no other failure domain is reached, or no other host
+// of a fleet in which most work passes through others.
+func (i *isolation) isolated() bool {
+	return i.domains.Isolated() || i.fleet() > quota.SmallFleet && i.peers.Isolated()
 }
 
 // watchReach turns the host not ready while it is isolated, and closes idle
-// sessions once callers are led elsewhere. A host without peers also leaves the
-// list of hosts, so that others take over what it holds.
-func (d *Daemon) watchReach(ctx context.Context, reached *isolation, g *gateway.Gateway, registry *hosts.Registry, router *relay.Router) {
+// sessions once callers are led elsewhere.
+func (d *Daemon) watchReach(ctx context.Context, reached *isolation, g *gateway.Gateway, all func() []hosts.Host, router *relay.Router) {
 	ticker := time.NewTicker(reachInterval)
 	defer ticker.Stop()
 	since := time.Now()
@@ -56,10 +51,9 @@
 		isolated := reached.isolated()
 		if isolated {
 			// The failures may all be those of one peer.
-			probe(ctx, reached.domains, d.options.Domain, registry.Hosts(), router)
+			probe(ctx, reached.domains, d.options.Domain, all(), router)
 			isolated = reached.isolated()
 		}
-		registry.SetWithdrawn(reached.withoutPeers())
 		if isolated != d.isolated.Load() {
 			d.isolated.Store(isolated)
 			d.log.Warn("reach of other hosts and failure domains", zap.Bool("isolated", isolated), zap.Duration("after", time.Since(since)))
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -55,17 +55,11 @@
 	now   func() time.Time
 	// regained is called when the store answers again after a failed call.
 	regained func()
-	// wake ends the pause between two renewals.
-	wake chan struct{}
 
 	mu    sync.Mutex
 	id    platform.LeaseID
 	clock *lease.Clock
 	seen  map[string]sighting
-	// withdrawn says that this host must not count as one of the fleet, and
-	// listed that its entry is in the store.
-	withdrawn bool
-	listed    bool
 }
 
 // sighting is what is known of a host.
@@ -80,7 +74,7 @@
 func New(self Host, store platform.Store, log *zap.Logger) *Registry {
 	return &Registry{
 		self: self, store: store, log: log, now: time.Now,
-		regained: func() {}, wake: make(chan struct{}, 1), clock: lease.New(lease.DefaultMargin), seen: map[string]sighting{self.Name: {Host: self}},
+		regained: func() {}, clock: lease.New(lease.DefaultMargin), seen: map[string]sighting{self.Name: {Host: self}},
 	}
 }
 
@@ -125,31 +119,12 @@
 	return nil
 }
 
-// SetWithdrawn takes this host out of the list of hosts or puts it back. A host
-// that no other reaches must not be relied on for anything; it keeps its lease.
-func (r *Registry) SetWithdrawn(withdrawn bool) {
-	r.mu.Lock()
-	changed := r.withdrawn != withdrawn
-	r.withdrawn = withdrawn
-	r.mu.Unlock()
-	if !changed {
-		return
-	}
-	select {
-	case r.wake <- struct{}{}:
-	default:
-	}
-}
-
 // Hosts returns the registered hosts.
 func (r *Registry) Hosts() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make([]Host, 0, len(r.seen))
-	for name, s := range r.seen {
-		if name == r.self.Name && r.withdrawn {
-			continue
-		}
+	for _, s := range r.seen {
 		if s.gone.IsZero() {
 			out = append(out, s.Host)
 		}
@@ -207,7 +182,6 @@
 		lost = r.logChange(lost, err)
 		select {
 		case <-ctx.Done():
-		case <-r.wake:
 		case <-time.After(pause):
 		}
 	}
@@ -256,12 +230,8 @@
 		return err
 	}
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.clock.Renew(sent, ttl)
-	outdated := r.listed == r.withdrawn
-	r.mu.Unlock()
-	if outdated {
-		return r.list(ctx, id)
-	}
 	return nil
 }
 
@@ -273,7 +243,12 @@
 	if err != nil {
 		return err
 	}
-	if err := r.list(ctx, id); err != nil {
+	value, err := json.Marshal(r.self)
+	if err != nil {
+		return err
+	}
+	_, err = r.store.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: Prefix + r.self.Name, Value: value, Lease: id}}})
+	if err != nil {
 		return err
 	}
 	r.mu.Lock()
@@ -285,30 +260,6 @@
 	return nil
 }
 
-// list puts the host's entry into the store, or takes it out while the host is
-// withdrawn.
-func (r *Registry) list(ctx context.Context, id platform.LeaseID) error {
-	r.mu.Lock()
-	withdrawn := r.withdrawn
-	r.mu.Unlock()
-	key := Prefix + r.self.Name
-	txn := platform.Txn{Deletes: []string{key}}
-	if !withdrawn {
-		value, err := json.Marshal(r.self)
-		if err != nil {
-			return err
-		}
-		txn = platform.Txn{Puts: []platform.Put{{Key: key, Value: value, Lease: id}}}
-	}
-	if _, err := r.store.Txn(ctx, txn); err != nil {
-		return err
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.listed = !withdrawn
-	return nil
-}
-
 func (r *Registry) forget() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/staleness/clock.go
+++ b/internal/staleness/clock.go
@@ -10,7 +10,8 @@
 // time.Time alone does not: its monotonic reading stands still meanwhile.
 type Mark struct {
 	At time.Time
-	// Suspended is how long the host had been suspended since it started.
+	// Suspended is how long the host had been suspended since it started, at
+	// least.
 	Suspended time.Duration
 }
 
@@ -19,12 +20,18 @@
 	return m.At.Sub(other.At) + m.Suspended - other.Suspended
 }
 
-// suspended returns how long the host has been suspended since it started. It
-// returns 0 where the system does not tell.
-func suspended() time.Duration {
-	var running, total unix.Timespec
-	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &running) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &total) != nil {
-		return 0
+// suspension bounds how long the host has been suspended since it started. The
+// bounds differ by the time between two readings of the clock, for which the
+// process may have been without the processor.
+type suspension struct{ least, most time.Duration }
+
+// readSuspension returns 0 where the system does not tell.
+func readSuspension() suspension {
+	var before, total, after unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &before) != nil ||
+		unix.ClockGettime(unix.CLOCK_BOOTTIME, &total) != nil ||
+		unix.ClockGettime(unix.CLOCK_MONOTONIC, &after) != nil {
+		return suspension{}
 	}
-	return time.Duration(total.Nano() - running.Nano())
+	return suspension{least: time.Duration(total.Nano() - after.Nano()), most: time.Duration(total.Nano() - before.Nano())}
 }
--- a/internal/staleness/staleness.go
+++ b/internal/staleness/staleness.go
@@ -23,8 +23,8 @@
 
 // Sample is a position that the leader had at or after a time.
 type Sample struct {
-	// At is that time by the present reading of the clock: time for which the
-	// host was suspended makes it earlier.
+	// At is that time by the present reading of the clock, or earlier: time for
+	// which the host may have been suspended makes it earlier.
 	At       time.Time
 	Position position.Position
 }
@@ -41,8 +41,8 @@
 
 // Bounds keeps the samples of all services. It may be used concurrently.
 type Bounds struct {
-	now       func() time.Time
-	suspended func() time.Duration
+	now        func() time.Time
+	suspension func() suspension
 
 	mu       sync.Mutex
 	services map[string][]sample
@@ -50,11 +50,12 @@
 
 // New returns bounds without samples.
 func New() *Bounds {
-	return &Bounds{now: time.Now, suspended: suspended, services: map[string][]sample{}}
+	return &Bounds{now: time.Now, suspension: readSuspension, services: map[string][]sample{}}
 }
 
-// Mark returns the present moment. It is taken before a request leaves.
-func (b *Bounds) Mark() Mark { return Mark{At: b.now(), Suspended: b.suspended()} }
+// Mark returns the present moment, or one a little earlier. It is taken before a
+// request leaves.
+func (b *Bounds) Mark() Mark { return Mark{At: b.now(), Suspended: b.suspension().least} }
 
 // Add records a leader's answer to a request that left at sent. It reports
 // false for an answer from a term that has ended.
@@ -96,7 +97,7 @@
 // At returns the oldest sample that is not older than the given time, because
 // it is the one that most replicas have reached.
 func (b *Bounds) At(service string, notBefore time.Time) (Sample, bool) {
-	suspended := b.suspended()
+	suspended := b.suspension().most
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	samples := b.services[service]
@@ -110,7 +111,7 @@
 
 // Newest returns the newest sample.
 func (b *Bounds) Newest(service string) (Sample, bool) {
-	suspended := b.suspended()
+	suspended := b.suspension().most
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	samples := b.services[service]
--- a/internal/staleness/staleness_test.go
+++ b/internal/staleness/staleness_test.go
@@ -23,7 +23,7 @@
 // newBounds returns bounds of a host that was never suspended.
 func newBounds() *Bounds {
 	b := New()
-	b.suspended = func() time.Duration { return 0 }
+	b.suspension = func() suspension { return suspension{} }
 	return b
 }
 
@@ -38,7 +38,7 @@
 		asked := time.Now().Add(-time.Second)
 		_, ok := b.At("x", asked)
 		Expect(ok).To(BeTrue())
-		b.suspended = func() time.Duration { return 3 * time.Second }
+		b.suspension = func() suspension { return suspension{3 * time.Second, 3 * time.Second} }
 		_, ok = b.At("x", asked)
 		Expect(ok).To(BeFalse())
 		newest, ok := b.Newest("x")
@@ -63,6 +63,18 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against a sample that looks young because the process lost the
+	// processor between two readings of the clock when it was taken.
+	It("takes the older of the possible times", func() {
+		const pause = 90 * time.Millisecond
+		b := newBounds()
+		b.suspension = func() suspension { return suspension{0, pause} }
+		b.Add("x", b.Mark(), at(1, 7))
+		newest, ok := b.Newest("x")
+		Expect(ok).To(BeTrue())
+		Expect(time.Since(newest.At)).To(BeNumerically(">=", pause))
+	})
+
 	// Guards against a position that a promotion rolled back, which no instance
 	// ever reaches again.
 	It("drops the samples of an ended term", func() {
