Divide the floors of limits by all hosts while one is replaced

Small fleets read the list without staleness again, both rules ask the same question, and the bound is 16 hosts, not near a fleet in use.

--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -31,6 +31,9 @@
 	// refreshPerHost keeps the reads of a large fleet in proportion to its size
 	// rather than to the square of it.
 	refreshPerHost = 100 * time.Millisecond
+	// staleFleet is the number of hosts up to which they are read without
+	// staleness.
+	staleFleet = 16
 	// startTime is how long the other hosts are read with every renewal.
 	startTime   = 5 * time.Second
 	callTimeout = 800 * time.Millisecond
@@ -93,7 +96,7 @@
 func (r *Registry) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	items, _, err := r.store.ListStale(ctx, Prefix)
+	items, _, err := r.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -119,6 +122,15 @@
 	return nil
 }
 
+// read returns the entries of all hosts. Parts of limits depend on the number of
+// hosts in a small fleet, so that must not be seconds old there.
+func (r *Registry) read(ctx context.Context) ([]platform.KeyValue, int64, error) {
+	if known, _ := r.Live(); known > staleFleet {
+		return r.store.ListStale(ctx, Prefix)
+	}
+	return r.store.List(ctx, Prefix)
+}
+
 // Hosts returns the registered hosts.
 func (r *Registry) Hosts() []Host {
 	r.mu.Lock()
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -134,9 +134,10 @@
 // In a fleet of at most SmallFleet hosts all hold parts of each account's limit,
 // sized by their demand. In a larger one fewHolders hold equal parts and the
 // others borrow for each operation, because the part of a host that meets an
-// account seldom would lie idle and its demand would change too often.
+// account seldom would lie idle and its demand would change too often. The bound
+// is not near a size in use, because a host that is replaced must not change it.
 const (
-	SmallFleet = 9
+	SmallFleet = 16
 	fewHolders = 3
 )
 
@@ -211,10 +212,11 @@
 	return false
 }
 
-// holderCount is the number of hosts that may hold a part of a limit.
+// holderCount is the number of hosts that may hold a part of a limit. In a small
+// fleet it includes hosts that disappeared a moment ago and may still run.
 func (l *Limiter) holderCount() int {
-	if hosts := l.options.Hosts(); hosts <= SmallFleet {
-		return hosts
+	if l.large() {
+		return fewHolders
 	}
-	return fewHolders
+	return l.options.Hosts()
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -327,6 +327,23 @@
 		Expect(held()).NotTo(ContainElement(before[0]))
 	})
 
+	// Guards against a limit used more than once while a host is replaced: the
+	// hosts divided it by three, because with the one that left they were more than
+	// a small fleet, and each used its part.
+	It("divides the floor by all hosts while one is replaced", func() {
+		const fleetSize = 9
+		f := newFleet(fleetSize, 60)
+		for _, l := range f.limiters {
+			l.options.Hosts = func() int { return SmallFleet + 1 }
+			f.admitAt(l)
+		}
+		sum := 0.0
+		for _, l := range f.limiters {
+			sum += l.account("a").held(f.now)
+		}
+		Expect(sum).To(BeNumerically("<=", floorPart+rounding))
+	})
+
 	// Guards against holdings that are never renewed because too many documents
 	// are due at once.
 	It("splits what does not fit into one transaction", func() {
