Keep idle connections for 50 s; spread the first writes of quota holdings

Connections now stay for 50 s, less than the minute after which instances close them. The first write waits for the host's phase. Test: with 24 hosts the three holders write at different ticks; before, at one.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,8 +27,10 @@
 )
 
 const (
-	// idleTime is how long an unused connection to an instance stays open.
-	idleTime = 20 * time.Second
+	// idleTime is how long an unused connection to an instance stays open. Instances
+	// close theirs after a minute; most accounts ask an instance less often than
+	// every 20 s, and opening a connection occupies one of its slots.
+	idleTime = 50 * time.Second
 	// removalTime is how long the balancer takes to stop sending callers to a
 	// host that is not ready: two probes, a second apart.
 	removalTime = 2200 * time.Millisecond
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -79,6 +79,9 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	started  time.Time
+	// phase keeps the writes of hosts that start together from meeting: a write
+	// that finds one of its documents changed has to be repeated.
+	phase time.Duration
 
 	// The fields below belong to Run.
 	ledgers   [shardCount]ledger
@@ -94,9 +97,8 @@
 func NewLimiter(o Options) *Limiter {
 	l := &Limiter{options: o, now: time.Now, accounts: map[string]*account{}, sightings: sightings{}, adopted: make(chan struct{})}
 	l.started = l.now()
-	// The hosts of a fleet start together; different phases keep their writes
-	// from meeting each time.
-	l.renewed = l.started.Add(-time.Duration(xxhash.Sum64String(o.Host) % uint64(renewPause)))
+	l.phase = time.Duration(xxhash.Sum64String(o.Host) % uint64(renewPause))
+	l.renewed = l.started.Add(-l.phase)
 	l.writes = metrics.GetOrRegisterCounter("quota.writes_count", o.Registry)
 	l.refusals = metrics.GetOrRegisterCounter("quota.refusals_count", o.Registry)
 	l.borrowed = metrics.GetOrRegisterCounter("quota.borrowed_count", o.Registry)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -344,6 +344,25 @@
 		Expect(sum).To(BeNumerically("<=", floorPart+rounding))
 	})
 
+	// Guards against writes in vain when a fleet starts: 676 of 1,128 transactions
+	// of 21 hosts conflicted, because all wrote their first holdings at once.
+	It("spreads the first writes of hosts that start together", func() {
+		const fleetSize = 24
+		f := newFleet(fleetSize, 60)
+		first := map[time.Duration]bool{}
+		started := f.now
+		for f.now.Sub(started) < settleTime+renewPause+time.Second {
+			f.now = f.now.Add(tickInterval)
+			for _, l := range f.limiters {
+				if shards := l.due(); shards != 0 {
+					first[f.now.Sub(started)] = true
+					l.write(context.Background(), shards)
+				}
+			}
+		}
+		Expect(len(first)).To(BeNumerically(">=", fewHolders))
+	})
+
 	// Guards against holdings that are never renewed because too many documents
 	// are due at once.
 	It("splits what does not fit into one transaction", func() {
--- a/internal/quota/record.go
+++ b/internal/quota/record.go
@@ -227,7 +227,7 @@
 
 // addAccounts gives accounts that nobody has asked for yet their initial part.
 func (l *Limiter) addAccounts(now time.Time) {
-	if now.Sub(l.started) < settleTime {
+	if now.Sub(l.started) < settleTime+l.phase {
 		return
 	}
 	for name, c := range l.options.Accounts() {
