--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -33,7 +33,7 @@
 	refreshPerHost = 100 * time.Millisecond
 	// staleFleet is the number of hosts up to which they are read without
 	// staleness.
-	staleFleet = 16
+	staleFleet = 14
 	// startTime is how long the other hosts are read with every renewal.
 	startTime   = 5 * time.Second
 	callTimeout = 800 * time.Millisecond
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -137,7 +137,7 @@
 // account seldom would lie idle and its demand would change too often. The bound
 // is not near a size in use, because a host that is replaced must not change it.
 const (
-	SmallFleet = 16
+	SmallFleet = 14
 	fewHolders = 3
 )
 
