Look up samples and times once for each choice; one bound for small fleets

Found in reading the whole change again. - Each read looked its sample up twice, and each write took the time for it twice, at three clock calls each; the choice counters were looked up by a name built for each attempt. Lookup answers both questions, a statement's time is kept with its attempts, and the counters are kept. A negative age of a sample that an operation had just waited for made its replicas look late; the present test found it. Tests of all changed packages pass, with the race detector on four of them; no test, bound or check is looser.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -110,7 +110,7 @@
 	return Revisions{Operator: f.operator.newestRevision(), Servers: f.servers.newestRevision()}
 }
 
-// Hint takes over what another host knows. A host that stays behind reads the
+// Hint compares what another host knows with what arrived here. A host that stays behind reads the
 // catalog again.
 func (f *Follower) Hint(r Revisions) {
 	f.operator.hint(r.Operator)
@@ -119,7 +119,7 @@
 
 func (f *Follower) expireLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, expiryInterval)
+		wait(ctx, nil, expiryInterval)
 		f.mu.Lock()
 		if f.view.expire(f.now()) {
 			f.publish()
--- a/internal/catalog/subscription.go
+++ b/internal/catalog/subscription.go
@@ -72,7 +72,8 @@
 	}
 }
 
-// requestResync opens the watch again and ends a pause between retries.
+// requestResync ends a watch, or a pause between retries, and has the prefix read
+// again.
 func (s *subscription) requestResync() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -86,7 +87,8 @@
 	return s.resync
 }
 
-// hint takes over the revision of the newest change that another host knows.
+// hint compares the revision of the newest change that another host knows with
+// what arrived here.
 func (s *subscription) hint(revision int64) {
 	now := s.follower.now()
 	s.mu.Lock()
@@ -192,9 +194,9 @@
 	}
 }
 
-// advance reads the prefix unless a watch can go on, and follows
-// its changes until the watch ends or has to be opened again. It reports
-// whether the store answered.
+// advance reads the prefix unless a watch can go on, and follows its changes
+// until the watch ends or has to be opened again. It reports whether the store
+// answered.
 func (s *subscription) advance(ctx context.Context, resync <-chan struct{}) (answered bool, err error) {
 	read := s.nextRevision() == 0
 	if read {
@@ -268,8 +270,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) { wait(ctx, nil, d) }
-
 // wait pauses until d has passed, ctx ends or early is closed.
 func wait(ctx context.Context, early <-chan struct{}, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/edge/isolation.go
+++ b/internal/edge/isolation.go
@@ -8,7 +8,6 @@
 
 	"github.com/bramleylever/bramleylever/internal/gateway"
 	"github.com/bramleylever/bramleylever/internal/hosts"
-	"github.com/bramleylever/bramleylever/internal/quota"
 	"github.com/bramleylever/bramleylever/internal/reach"
 	"github.com/bramleylever/bramleylever/internal/relay"
 )
@@ -33,12 +32,12 @@
 // isolated reports whether no other failure domain is reached, or no other host
 // of a fleet in which most work passes through others.
 func (i *isolation) isolated() bool {
-	return i.domains.Isolated() || i.fleet() > quota.SmallFleet && i.peers.Isolated()
+	return i.domains.Isolated() || i.fleet() > hosts.SmallFleet && i.peers.Isolated()
 }
 
 // watchReach turns the host not ready while it is isolated, and closes idle
 // sessions once callers are led elsewhere.
-func (d *Daemon) watchReach(ctx context.Context, reached *isolation, g *gateway.Gateway, all func() []hosts.Host, router *relay.Router) {
+func (d *Daemon) watchReach(ctx context.Context, i *isolation, g *gateway.Gateway, all func() []hosts.Host, router *relay.Router) {
 	ticker := time.NewTicker(reachInterval)
 	defer ticker.Stop()
 	since := time.Now()
@@ -48,11 +47,11 @@
 			return
 		case <-ticker.C:
 		}
-		isolated := reached.isolated()
+		isolated := i.isolated()
 		if isolated {
 			// The failures may all be those of one peer.
-			probe(ctx, reached.domains, d.options.Domain, all(), router)
-			isolated = reached.isolated()
+			probe(ctx, i.domains, d.options.Domain, all(), router)
+			isolated = i.isolated()
 		}
 		if isolated != d.isolated.Load() {
 			d.isolated.Store(isolated)
--- a/internal/edge/isolation_test.go
+++ b/internal/edge/isolation_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/bramleylever/bramleylever/internal/quota"
+	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/reach"
 )
 
@@ -28,7 +28,7 @@
 	// Guards against a host of a large fleet that takes callers although it is
 	// cut off from all other hosts: it has no quota and no connections for them.
 	It("counts a host that reaches no other host of a large fleet", func() {
-		i := cutOffFromPeers(quota.SmallFleet + 1)
+		i := cutOffFromPeers(hosts.SmallFleet + 1)
 		Expect(i.isolated()).To(BeFalse())
 		Eventually(i.isolated, 2*time.Second).Should(BeTrue())
 		i.peers.Reached("h2")
@@ -38,7 +38,7 @@
 	// Guards against a host of a small fleet that turns callers away although it
 	// can serve them by itself.
 	It("does not count a host of a small fleet that reaches instances", func() {
-		i := cutOffFromPeers(quota.SmallFleet)
+		i := cutOffFromPeers(hosts.SmallFleet)
 		Consistently(i.isolated, 800*time.Millisecond).Should(BeFalse())
 	})
 })
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -39,6 +39,8 @@
 	reasonPrimaryBound = "primary_in_bound"
 )
 
+var reasons = []string{reasonWrite, reasonStrongRead, reasonNoSample, reasonReplica, reasonPrimaryBound}
+
 // chooseLeader returns the instance to ask for work that only a leader may
 // run, or nil if none is worth asking now.
 func (g *Gateway) chooseLeader(snapshot *catalog.Snapshot, service string, tried map[string]bool, now time.Time) *catalog.Server {
@@ -83,10 +85,12 @@
 	if op.route.Consistency == catalog.Strong || op.needLeader {
 		return position.Position{}, 0, false
 	}
-	sample, ok := g.bounds.At(op.route.Service, op.arrived.Add(stalenessMargin-op.route.MaxStaleness))
+	sample, ok := op.sample(now)
 	if !ok {
 		return position.Position{}, 0, false
 	}
+	// The operation may have waited for the sample.
+	now = g.now()
 	p, age = sample.Position, now.Sub(sample.At)
 	if op.route.Consistency == catalog.ReadYourWrites && op.session.position.Compare(p) > 0 {
 		p, age = op.session.position, now.Sub(op.session.positionAt)
@@ -94,13 +98,6 @@
 	return p, age, true
 }
 
-// chooseRead returns the target of a read of the operation.
-func (op *operation) chooseRead(a *attempts) target {
-	op.renewSample()
-	g := op.gateway()
-	return g.chooseRead(g.options.Catalog(), op, a.tried, g.now())
-}
-
 // chooseRead returns the target of a read, with a nil server if none is worth
 // asking now.
 func (g *Gateway) chooseRead(snapshot *catalog.Snapshot, op *operation, tried map[string]bool, now time.Time) target {
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -72,8 +72,10 @@
 	// history is the instances asked and what they answered, at most
 	// maxHistory of them.
 	history []string
-	// reason is why the last instance was chosen.
+	// reason is why the last instance was chosen, and sent when the last statement
+	// left for an instance that was asked to lead.
 	reason string
+	sent   staleness.Mark
 	// connecting, running and pausing is where the time went.
 	connecting time.Duration
 	running    time.Duration
@@ -145,7 +147,7 @@
 	deadline := op.deadline(c.arrived)
 	a := &attempts{}
 	for g.now().Before(deadline) {
-		t := op.chooseRead(a)
+		t := g.chooseRead(g.options.Catalog(), op, a.tried, g.now())
 		if t.server == nil {
 			if !op.pause(a, deadline) {
 				break
@@ -213,18 +215,17 @@
 // do runs work on a connection and learns from the answer.
 func (op *operation) do(conn connpool.Handle, t target, w connpool.Work, deadline time.Time, a *attempts) (connpool.Answer, error) {
 	g := op.gateway()
-	g.stats.choice(t.reason)
+	g.stats.choices[t.reason].Inc(1)
 	a.reason = t.reason
-	var mark staleness.Mark
 	if t.lead {
-		mark = g.bounds.Mark()
+		a.sent = g.bounds.Mark()
 	}
 	sent := g.now()
 	answer, err := conn.Do(deadline, w)
 	took := g.now().Sub(sent)
 	a.running += took
 	if w.Begin != nil && !w.Begin.ReadOnly && answer.Refused == nil && !answer.Began.IsZero() {
-		g.noteLeader(t.server, mark, answer.Began)
+		g.noteLeader(t.server, a.sent, answer.Began)
 	}
 	if len(answer.Results) > 0 {
 		g.health.answered(t.server, took, answer.Results[0].Position, g.now())
@@ -341,7 +342,6 @@
 		return statement.Result{}, false
 	}
 	defer conn.Release()
-	sent := g.bounds.Mark()
 	w := connpool.Work{Values: op.session.values, Prepared: c.prepared, Statements: []statement.Statement{c.statement}}
 	answer, err := op.do(conn, t, w, deadline, a)
 	switch {
@@ -358,7 +358,7 @@
 	}
 	result := answer.Results[0]
 	if result.Succeeded() {
-		g.noteLeader(t.server, sent, result.Position)
+		g.noteLeader(t.server, a.sent, result.Position)
 		op.session.committed(result.Position, g.now())
 		return result, true
 	}
--- a/internal/gateway/sample.go
+++ b/internal/gateway/sample.go
@@ -92,24 +92,23 @@
 	g.bounds.Add(server.Service, sent, p)
 }
 
-// renewSample makes sure that a read has a sample: it waits for one if there is
-// none, and has one fetched in the background if the newest is getting old.
-func (op *operation) renewSample() {
-	g := op.gateway()
-	if g.options.Positions == nil || op.route.Consistency == catalog.Strong || op.needLeader {
-		return
-	}
-	now := g.now()
-	newest, ok := g.bounds.Newest(op.route.Service)
-	age := now.Sub(newest.At)
+// sample returns the sample that bounds a read of the operation. An operation
+// without one waits for it once; a sample that is getting old is renewed in the
+// background.
+func (op *operation) sample(now time.Time) (staleness.Sample, bool) {
+	g, service := op.gateway(), op.route.Service
+	notBefore := op.arrived.Add(stalenessMargin - op.route.MaxStaleness)
+	found, newest, ok := g.bounds.Lookup(service, notBefore)
 	switch {
-	case ok && age < time.Duration(renewPart*float64(op.route.MaxStaleness)):
-	case ok && age < op.route.MaxStaleness-stalenessMargin-sampleTimeout:
-		go g.fetchSample(op.route.Service)
-	case !op.sampled:
+	case g.options.Positions == nil:
+	case !ok && !op.sampled:
 		op.sampled = true
-		g.fetchSample(op.route.Service)
+		g.fetchSample(service)
+		found, _, ok = g.bounds.Lookup(service, notBefore)
+	case ok && now.Sub(newest) >= time.Duration(renewPart*float64(op.route.MaxStaleness)):
+		go g.fetchSample(service)
 	}
+	return found, ok
 }
 
 // fetchSample asks the host that samples the service. Concurrent calls share
--- a/internal/gateway/stats.go
+++ b/internal/gateway/stats.go
@@ -11,6 +11,8 @@
 	registry metrics.Registry
 	latency  metrics.Histogram
 	retries  metrics.Counter
+	// choices counts the choices of an instance by reason.
+	choices map[string]metrics.Counter
 	// samples and sampleFailures count the requests for leaders' positions.
 	samples        metrics.Counter
 	sampleFailures metrics.Counter
@@ -20,7 +22,12 @@
 const latencySample = 512
 
 func newStats(r metrics.Registry) *stats {
+	choices := map[string]metrics.Counter{}
+	for _, reason := range reasons {
+		choices[reason] = metrics.GetOrRegisterCounter("gateway.choice_"+reason+"_count", r)
+	}
 	return &stats{
+		choices:  choices,
 		registry: r,
 		latency:  metrics.GetOrRegisterHistogram("gateway.statement_us", r, metrics.NewUniformSample(latencySample)),
 		retries:  metrics.GetOrRegisterCounter("gateway.retries_count", r),
@@ -30,11 +37,6 @@
 	}
 }
 
-// choice counts a choice of an instance by its reason.
-func (s *stats) choice(reason string) {
-	metrics.GetOrRegisterCounter("gateway.choice_"+reason+"_count", s.registry).Inc(1)
-}
-
 func (s *stats) result(code statement.Code) {
 	name := "ok"
 	if code != statement.OK {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -158,7 +158,6 @@
 	op := tx.op
 	w := connpool.Work{Values: op.session.values, Prepared: c.prepared, Statements: []statement.Statement{c.statement}}
 	for try := 0; ; try++ {
-		sent := op.gateway().bounds.Mark()
 		answer, err := op.do(tx.conn, tx.target, w, deadline, a)
 		if answer.Refused != nil {
 			return *answer.Refused, nil
@@ -169,7 +168,7 @@
 		}
 		result := answer.Results[0]
 		if result.Succeeded() && tx.target.lead && c.statement.Kind != statement.Commit {
-			op.gateway().noteLeader(tx.target.server, sent, result.Position)
+			op.gateway().noteLeader(tx.target.server, a.sent, result.Position)
 		}
 		again := result.Code == statement.Busy && result.State == statement.InTransaction && try < busyRetries
 		if !again {
@@ -202,11 +201,12 @@
 }
 
 func (tx *transaction) choose(a *attempts) target {
+	g := tx.op.gateway()
+	snapshot := g.options.Catalog()
 	if tx.readOnly {
-		return tx.op.chooseRead(a)
+		return g.chooseRead(snapshot, tx.op, a.tried, g.now())
 	}
-	g := tx.op.gateway()
-	server := g.chooseLeader(g.options.Catalog(), tx.op.route.Service, a.tried, g.now())
+	server := g.chooseLeader(snapshot, tx.op.route.Service, a.tried, g.now())
 	return target{server: server, lead: true, reason: reasonWrite}
 }
 
@@ -269,7 +269,6 @@
 	tx.stopIdle()
 	deadline := tx.op.deadline(c.arrived)
 	a := &attempts{}
-	sent := s.gateway.bounds.Mark()
 	s.tx = nil
 	var result statement.Result
 	if tx.conn == nil {
@@ -283,7 +282,7 @@
 		if result, err = tx.send(c, deadline, a); err != nil {
 			result = tx.commitUnknown(err)
 		} else {
-			result = tx.commitAnswered(s, result, sent)
+			result = tx.commitAnswered(s, result, a.sent)
 		}
 	}
 	tx.release()
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -31,9 +31,6 @@
 	// refreshPerHost keeps the reads of a large fleet in proportion to its size
 	// rather than to the square of it.
 	refreshPerHost = 100 * time.Millisecond
-	// staleFleet is the number of hosts up to which they are read without
-	// staleness.
-	staleFleet = 14
 	// startTime is how long the other hosts are read with every renewal.
 	startTime   = 5 * time.Second
 	callTimeout = 800 * time.Millisecond
@@ -42,6 +39,12 @@
 	countMemory = 15 * time.Second
 )
 
+// SmallFleet is the largest number of hosts of a small fleet. There each host
+// serves mostly by itself and holds a part of every limit; in a larger one most
+// work passes through others. The bound is not near a size in use, because a
+// host that is replaced must not change it.
+const SmallFleet = 14
+
 // Host is a registered host.
 type Host struct {
 	Name   string `json:"-"`
@@ -125,7 +128,7 @@
 // read returns the entries of all hosts. Parts of limits depend on the number of
 // hosts in a small fleet, so that must not be seconds old there.
 func (r *Registry) read(ctx context.Context) ([]platform.KeyValue, int64, error) {
-	if known, _ := r.Live(); known > staleFleet {
+	if known, _ := r.Live(); known > SmallFleet {
 		return r.store.ListStale(ctx, Prefix)
 	}
 	return r.store.List(ctx, Prefix)
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -49,9 +49,9 @@
 	equalFactor = 2
 )
 
-// term returns how long a holding lasts, given the time for one that follows
+// lifetime returns how long a holding lasts, given the time for one that follows
 // the demand.
-func term(d time.Duration, equal bool) time.Duration {
+func lifetime(d time.Duration, equal bool) time.Duration {
 	if equal {
 		return equalFactor * d
 	}
@@ -109,7 +109,7 @@
 // held returns the fraction of the limit that the host may use now.
 func (a *account) held(now time.Time) float64 {
 	floor := floorPart / float64(max(1, a.hosts))
-	if now.Sub(a.renewed) >= term(holdTime, a.recordedEqual) {
+	if now.Sub(a.renewed) >= lifetime(holdTime, a.recordedEqual) {
 		return floor
 	}
 	return floor + a.fraction
@@ -217,7 +217,7 @@
 // stale reports whether the holding should be written: it is old, or the need
 // has changed.
 func (a *account) stale(others float64, now time.Time) bool {
-	if now.Sub(a.renewed) >= term(renewTime, a.recordedEqual) && (a.fraction > 0 || a.wish > 0) {
+	if now.Sub(a.renewed) >= lifetime(renewTime, a.recordedEqual) && (a.fraction > 0 || a.wish > 0) {
 		return true
 	}
 	if a.exhausted && a.wanted(0, now) > a.fraction+rounding {
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -131,15 +131,11 @@
 	return out[:min(borrowTries, len(out))]
 }
 
-// In a fleet of at most SmallFleet hosts all hold parts of each account's limit,
-// sized by their demand. In a larger one fewHolders hold equal parts and the
-// others borrow for each operation, because the part of a host that meets an
-// account seldom would lie idle and its demand would change too often. The bound
-// is not near a size in use, because a host that is replaced must not change it.
-const (
-	SmallFleet = 14
-	fewHolders = 3
-)
+// In a small fleet all hosts hold parts of each account's limit, sized by their
+// demand. In a larger one fewHolders hold equal parts and the others borrow for
+// each operation, because the part of a host that meets an account seldom would
+// lie idle and its demand would change too often.
+const fewHolders = 3
 
 // fleetRefresh is how long a view of the fleet is used. Ranking 73 hosts for each
 // of 79 accounts at each look at the holdings took 3% of a core.
@@ -175,7 +171,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.refresh(l.options.Peers, l.now())
-	return len(v.all) > SmallFleet
+	return len(v.all) > hosts.SmallFleet
 }
 
 // holders returns the hosts that hold parts of an account's limit, by
@@ -185,7 +181,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.refresh(l.options.Peers, l.now())
-	if len(v.all) <= SmallFleet {
+	if len(v.all) <= hosts.SmallFleet {
 		return v.all
 	}
 	held, ok := v.holders[name]
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -103,7 +103,7 @@
 // sightings tells holdings that are renewed from those of hosts that are gone.
 type sightings map[string]sighting
 
-// prune removes the holdings that were not renewed for their term. A host
+// prune removes the holdings that were not renewed for their lifetime. A host
 // stops using a holding before that, so no clock is compared.
 func (s sightings) prune(l ledger, self string, now time.Time) {
 	for account, holdings := range l {
@@ -117,7 +117,7 @@
 				s[key] = sighting{h.Sequence, now}
 				continue
 			}
-			if now.Sub(seen.at) >= term(reclaimTime, h.Equal) {
+			if now.Sub(seen.at) >= lifetime(reclaimTime, h.Equal) {
 				l.set(account, host, holding{})
 				delete(s, key)
 			}
--- a/internal/quota/record.go
+++ b/internal/quota/record.go
@@ -45,7 +45,7 @@
 				a := l.account(name)
 				// The others may be about to reclaim it, so it is renewed next.
 				a.fraction, a.recordedEqual = own.Fraction, own.Equal
-				a.renewed = asked.Add(-term(renewTime, own.Equal))
+				a.renewed = asked.Add(-lifetime(renewTime, own.Equal))
 				a.hosts = l.holderCount()
 				a.updated = asked.Add(-restartTime)
 				l.sequence = max(l.sequence, own.Sequence)
--- a/internal/relay/position.go
+++ b/internal/relay/position.go
@@ -25,15 +25,15 @@
 // is shorter than the other host waits.
 const samplerTimeout = 80 * time.Millisecond
 
-// samplePair is hashed in the place of an account, so that all hosts ask the
-// same one for the position of a leader.
-const samplePair = "position"
+// sampleKey is hashed in the place of an account, so that all hosts ask the same
+// one for the position of a leader.
+const sampleKey = "position"
 
 // Position asks the host that samples a service, or this host's own sampler if
 // it is the one or no other is reached. The position is one that the leader had
 // at most age before the call.
 func (r *Router) Position(ctx context.Context, primary *catalog.Server) (position.Position, time.Duration, error) {
-	holder, ok := r.holder(primary, samplePair)
+	holder, ok := r.holder(primary, sampleKey)
 	if !ok || holder.Name == r.options.Self {
 		return r.sampler.LeaderPosition(ctx, primary.Service)
 	}
@@ -45,16 +45,16 @@
 		Service: primary.Service, Revisions: toRevisions(r.options.Revisions()),
 	})
 	if err != nil {
-		r.judge(holder, err)
+		r.checkLate(holder, err)
 		return position.Position{}, 0, outcome.At("ask for position", holder.Name, err)
 	}
 	r.options.Hint(fromRevisions(reply.GetRevisions()))
 	return fromPosition(reply.GetPosition()), time.Duration(reply.GetAgeUs()) * time.Microsecond, nil
 }
 
-// judge gives a host up that did not answer a request for a position, unless it
-// only waits for the leader.
-func (r *Router) judge(holder hosts.Host, err error) {
+// checkLate gives a host up that did not answer a request for a position, unless
+// it answers a ping and so only waits for the leader.
+func (r *Router) checkLate(holder hosts.Host, err error) {
 	switch status.Code(err) {
 	case codes.Unavailable:
 		r.failed(holder, err)
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -184,6 +184,8 @@
 	a := r.avoid[h.Name]
 	if err == nil {
 		delete(r.avoid, h.Name)
+		r.options.Log.Info("holder reached again", zap.String(logging.FieldDecision, "use_holder"),
+			zap.String(logging.FieldPeer, h.Name))
 		return
 	}
 	r.avoid[h.Name] = a.extended(r.now())
--- a/internal/staleness/staleness.go
+++ b/internal/staleness/staleness.go
@@ -94,19 +94,24 @@
 	return append(samples[:0], samples[first:]...)
 }
 
-// At returns the oldest sample that is not older than the given time, because
-// it is the one that most replicas have reached.
-func (b *Bounds) At(service string, notBefore time.Time) (Sample, bool) {
+// Lookup returns the oldest sample that is not older than the given time, because
+// it is the one that most replicas have reached, and when the newest sample was
+// taken. ok is false if no sample is young enough.
+func (b *Bounds) Lookup(service string, notBefore time.Time) (oldest Sample, newest time.Time, ok bool) {
 	suspended := b.suspension().most
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	samples := b.services[service]
+	if len(samples) == 0 {
+		return Sample{}, time.Time{}, false
+	}
+	newest = samples[len(samples)-1].at(suspended).At
 	for i := range samples {
 		if s := samples[i].at(suspended); !s.At.Before(notBefore) {
-			return s, true
+			return s, newest, true
 		}
 	}
-	return Sample{}, false
+	return Sample{}, newest, false
 }
 
 // Newest returns the newest sample.
--- a/internal/staleness/staleness_test.go
+++ b/internal/staleness/staleness_test.go
@@ -36,16 +36,16 @@
 		b := newBounds()
 		b.Add("x", b.Mark(), at(1, 7))
 		asked := time.Now().Add(-time.Second)
-		_, ok := b.At("x", asked)
+		_, _, ok := b.Lookup("x", asked)
 		Expect(ok).To(BeTrue())
 		b.suspension = func() suspension { return suspension{3 * time.Second, 3 * time.Second} }
-		_, ok = b.At("x", asked)
+		_, _, ok = b.Lookup("x", asked)
 		Expect(ok).To(BeFalse())
 		newest, ok := b.Newest("x")
 		Expect(ok).To(BeTrue())
 		Expect(time.Since(newest.At)).To(BeNumerically(">=", 3*time.Second))
 		b.Add("x", b.Mark(), at(1, 8))
-		s, ok := b.At("x", asked)
+		s, _, ok := b.Lookup("x", asked)
 		Expect(ok).To(BeTrue())
 		Expect(s.Position).To(Equal(at(1, 8)))
 	})
@@ -56,10 +56,10 @@
 		for i := range 5 {
 			b.Add("x", Mark{At: start.Add(time.Duration(i) * time.Second)}, at(1, uint64(10*i)+1))
 		}
-		s, ok := b.At("x", start.Add(1500*time.Millisecond))
+		s, _, ok := b.Lookup("x", start.Add(1500*time.Millisecond))
 		Expect(ok).To(BeTrue())
 		Expect(s.Position).To(Equal(at(1, 21)))
-		_, ok = b.At("x", start.Add(5*time.Second))
+		_, _, ok = b.Lookup("x", start.Add(5*time.Second))
 		Expect(ok).To(BeFalse())
 	})
 
@@ -81,7 +81,7 @@
 		b := newBounds()
 		b.Add("x", Mark{At: start}, at(1, 500))
 		b.Add("x", Mark{At: start.Add(time.Second)}, at(2, 400))
-		s, ok := b.At("x", start)
+		s, _, ok := b.Lookup("x", start)
 		Expect(ok).To(BeTrue())
 		Expect(s.Position).To(Equal(at(2, 400)))
 		Expect(b.Add("x", Mark{At: start.Add(2 * time.Second)}, at(1, 600))).To(BeFalse())
@@ -113,7 +113,7 @@
 			b.Add("x", Mark{At: start.Add(now - delay)}, at(1, lsn))
 		}
 		age := time.Duration(rapid.IntRange(0, 3000).Draw(t, "age")) * time.Millisecond
-		s, ok := b.At("x", start.Add(now-age))
+		s, _, ok := b.Lookup("x", start.Add(now-age))
 		if !ok {
 			return
 		}
