--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -43,9 +43,9 @@
 
 var reasons = []string{reasonWrite, reasonStrongRead, reasonNoSample, reasonReplica, reasonPrimaryBound}
 
-// chooseLeader returns the instance to which leader-only work is sent, or nil if
-// no instance is a candidate at present.
-func (g *Gateway) chooseLeader(snapshot *catalog.Snapshot, service string, tried map[string]bool, now time.Time) *catalog.Server {
+// likelyLeader returns the instance that probably leads a service, or nil if no
+// instance is a candidate at present.
+func (g *Gateway) likelyLeader(snapshot *catalog.Snapshot, service string, tried map[string]bool, now time.Time) *catalog.Server {
 	group := snapshot.Groups[service]
 	g.health.mu.Lock()
 	defer g.health.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,6 +26,24 @@
 	Admit(account *catalog.Account, now time.Time) bool
 }
 
+// Terms says whether this host may use the leaders of services. An instance that was
+// replaced may not know it and still answer like a leader.
+type Terms interface {
+	// Lost returns for how long the host has not been allowed to use any leader; zero
+	// while it is.
+	Lost() time.Duration
+	// Closed returns the newest term of a service whose leader must not be used any
+	// more, nor those of earlier terms; 0 if there is none.
+	Closed(service string) uint64
+}
+
+// openTerms allows the use of every leader.
+type openTerms struct{}
+
+func (openTerms) Lost() time.Duration { return 0 }
+
+func (openTerms) Closed(string) uint64 { return 0 }
+
 // Options configures a Gateway.
 type Options struct {
 	Catalog   func() *catalog.Snapshot
@@ -35,6 +53,8 @@
 	// Positions provides samples of leader positions taken by other hosts. If nil,
 	// the gateway has only the samples from its own traffic.
 	Positions PositionSource
+	// Terms restricts the use of leaders. If nil, every leader may be used.
+	Terms Terms
 	// Domain is the host's failure domain.
 	Domain string
 	// Reachability is told which failure domains answer and which do not.
@@ -53,6 +73,8 @@
 	now     func() time.Time
 	// sampleRequests merges concurrent requests for the same position sample.
 	sampleRequests syncx.SingleFlight
+	// leaderProofs merges concurrent requests for the proof that an instance leads.
+	leaderProofs syncx.SingleFlight
 
 	draining atomic.Bool
 	// servedCount counts served statements; one in servedLogInterval is logged.
@@ -64,9 +86,13 @@
 
 // New returns a gateway without sessions.
 func New(o Options) *Gateway {
+	if o.Terms == nil {
+		o.Terms = openTerms{}
+	}
 	return &Gateway{
 		options: o, log: o.Log, bounds: staleness.New(), health: newHealth(o.Reachability),
-		stats: newStats(o.Registry), now: time.Now, sampleRequests: syncx.NewSingleFlight(), sessions: map[*Session]struct{}{},
+		stats: newStats(o.Registry), now: time.Now, sampleRequests: syncx.NewSingleFlight(), leaderProofs: syncx.NewSingleFlight(),
+		sessions: map[*Session]struct{}{},
 	}
 }
 
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -61,10 +61,12 @@
 	mu           sync.Mutex
 	instances    map[string]*instanceHealth
 	leaders      map[string]leader
+	// epochs holds the newest term of each service that an instance proved to lead.
+	epochs map[string]uint64
 }
 
 func newHealth(tracker *reachability.Tracker) *health {
-	return &health{reachability: tracker, instances: map[string]*instanceHealth{}, leaders: map[string]leader{}}
+	return &health{reachability: tracker, instances: map[string]*instanceHealth{}, leaders: map[string]leader{}, epochs: map[string]uint64{}}
 }
 
 func (h *health) get(server *catalog.Server) *instanceHealth {
@@ -147,6 +149,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.get(server).notLeaderAt = time.Time{}
+	h.epochs[server.Service] = max(h.epochs[server.Service], term.Epoch)
 	if old := h.leaders[server.Service]; term.Less(old.term) {
 		return
 	}
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -58,6 +58,15 @@
 	return err
 }
 
+// Demote implements promotion.Inspector.
+func (i Inspector) Demote(ctx context.Context, server *catalog.Server, epoch uint64) (promotion.Candidate, error) {
+	report, err := i.ask(ctx, server, statement.Statement{Kind: statement.Demote, Term: epoch})
+	if err == nil && report.Primary && report.Epoch < epoch {
+		err = fmt.Errorf("demote %s: it still leads term %d", server.ID, report.Epoch)
+	}
+	return report, err
+}
+
 func (i Inspector) ask(ctx context.Context, server *catalog.Server, st statement.Statement) (promotion.Candidate, error) {
 	g := i.gateway
 	conn, err := g.options.Conns.Acquire(ctx, server, anonymous, nil)
@@ -89,5 +98,6 @@
 	if !result.Succeeded() || result.Instance == nil {
 		return promotion.Candidate{}, fmt.Errorf("status of %s: answer %s %s", server.ID, result.Code, result.Detail)
 	}
-	return promotion.Candidate{Server: server, Received: result.Instance.Received}, nil
+	in := result.Instance
+	return promotion.Candidate{Server: server, Received: in.Received, Primary: in.Primary, Epoch: in.Term}, nil
 }
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -132,6 +132,12 @@
 	return true
 }
 
+// refuseEarly reports whether a statement is refused now because it needs a leader and
+// this host may not use leaders; another host may.
+func (op *operation) refuseEarly(t target) bool {
+	return t.requireLeader && op.gateway().options.Terms.Lost() > maxLeaseGap
+}
+
 // notRunResult logs and returns the result of a statement that did not run at any
 // instance.
 func (op *operation) notRunResult(c call, a *attempts) statement.Result {
@@ -152,7 +158,7 @@
 	for g.now().Before(deadline) {
 		t := g.chooseRead(g.options.Catalog(), op, a.tried, g.now())
 		if t.server == nil {
-			if !op.pause(a, deadline) {
+			if op.refuseEarly(t) || !op.pause(a, deadline) {
 				break
 			}
 			continue
@@ -222,6 +228,9 @@
 	a.reason = t.reason
 	if t.requireLeader {
 		a.sent = g.bounds.Now()
+		if !g.mayUse(t.server) {
+			return connpool.Answer{}, errLeaderUnusable
+		}
 	}
 	sent := g.now()
 	answer, err := conn.Do(deadline, w)
@@ -304,6 +313,9 @@
 		a.record(server, err.Error())
 		g.health.recordOwnerFailure(server, ownerErr.Owner, g.now())
 		return
+	case errors.Is(err, errLeaderUnusable):
+		a.exclude(server, err.Error())
+		return
 	case errors.Is(err, connpool.ErrNoConnection), errors.As(err, &refusal) && refusal.Code == statement.MaxConns:
 		a.exclude(server, err.Error())
 		return
@@ -323,7 +335,7 @@
 	for g.now().Before(deadline) {
 		server := g.chooseLeader(g.options.Catalog(), op.route.Service, a.tried, g.now())
 		if server == nil {
-			if !op.pause(a, deadline) {
+			if op.refuseEarly(target{requireLeader: true}) || !op.pause(a, deadline) {
 				break
 			}
 			continue
@@ -364,6 +376,9 @@
 	}
 	result := answer.Results[0]
 	if result.Succeeded() {
+		if !g.mayUse(t.server) {
+			return endedInDoubt("write", t.server), true
+		}
 		g.recordLeaderAnswer(t.server, a.sent, result.Position)
 		op.session.recordCommit(result.Position, g.now())
 		return result, true
@@ -375,6 +390,12 @@
 	return result, true
 }
 
+// endedInDoubt is the result of a write that was acknowledged by an instance that may
+// have lost its role before the write: another instance may not have it.
+func endedInDoubt(step string, server *catalog.Server) statement.Result {
+	return statement.Result{Code: statement.InDoubt, Detail: step + ": peer " + server.ID + ": the term of the instance may have ended"}
+}
+
 // recordCommit advances the session's position to that of a commit.
 func (s *Session) recordCommit(p position.Position, now time.Time) {
 	if s.position.Compare(p) < 0 {
--- a/internal/gateway/sample.go
+++ b/internal/gateway/sample.go
@@ -71,6 +71,9 @@
 	}
 	defer conn.Release()
 	sent := g.bounds.Now()
+	if !g.mayUse(server) {
+		return errLeaderUnusable
+	}
 	deadline, _ := ctx.Deadline()
 	answer, err := conn.Do(deadline, connpool.Work{
 		Begin: &statement.Statement{Kind: statement.Begin}, Statements: []statement.Statement{{Kind: statement.Rollback}},
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -187,7 +187,7 @@
 	for g.now().Before(deadline) {
 		t := tx.choose(a)
 		if t.server == nil {
-			if !op.pause(a, deadline) {
+			if op.refuseEarly(t) || !op.pause(a, deadline) {
 				break
 			}
 			continue
@@ -305,6 +305,9 @@
 func (tx *transaction) commitAnswered(s *Session, result statement.Result, sent staleness.Timestamp) statement.Result {
 	if result.Succeeded() {
 		if tx.wrote {
+			if !s.gateway.mayUse(tx.target.server) {
+				return endedInDoubt("commit", tx.target.server)
+			}
 			tx.op.gateway().recordLeaderAnswer(tx.target.server, sent, result.Position)
 			s.recordCommit(result.Position, s.gateway.now())
 		}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -17,6 +17,7 @@
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/gateway"
 	"github.com/bramleylever/bramleylever/internal/hosts"
+	"github.com/bramleylever/bramleylever/internal/leadership"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/peer"
 	"github.com/bramleylever/bramleylever/internal/platform"
@@ -50,6 +51,9 @@
 	// DrainTime is how long a backend server may still get work after it has announced
 	// that it is draining.
 	DrainTime time.Duration
+	// Fenced says that the platform refuses promotion orders with an old fencing token,
+	// and that a primary loses its role when another instance takes it.
+	Fenced bool
 }
 
 // Options configures a daemon. The functions provide the wire formats of a platform.
@@ -149,17 +153,24 @@
 		Self: o.Host, Pool: pool, Peers: peers, Hosts: registry.Hosts, Catalog: follower.Snapshot,
 		Revisions: follower.Revisions, Hint: follower.Hint, Reachability: detector.peers, Log: d.log, Registry: o.Registry,
 	})
+	var g *gateway.Gateway
+	leaders := leadership.New(leadership.Options{
+		Self: o.Host, Store: o.Store, Peers: peers, Hosts: registry.Hosts, Counted: registry.Counted,
+		Revisions: follower.Revisions, Hint: follower.Hint, Log: d.log, Registry: o.Registry,
+		DemoteHere: func(ctx context.Context, id string, epoch uint64) error { return g.Demote(ctx, id, epoch) },
+	})
 	server, err := peer.Listen(o.PeerAddress, o.Registry)
 	if err != nil {
 		return err
 	}
 	defer server.Stop()
-	g := gateway.New(gateway.Options{
+	g = gateway.New(gateway.Options{
 		Catalog: follower.Snapshot, Changed: follower.Changed, Conns: router, Admission: limiter,
-		Positions: router, Domain: o.Domain, Reachability: detector.domains, Log: d.log, Registry: o.Registry,
+		Positions: router, Terms: leaders, Domain: o.Domain, Reachability: detector.domains, Log: d.log, Registry: o.Registry,
 	})
 	router.Register(server, g)
 	limiter.Register(server)
+	leaders.Register(server)
 	go func() {
 		if err := server.Serve(); err != nil {
 			d.log.Error("peer server failed", zap.Error(err))
@@ -169,7 +180,10 @@
 	promotionRunner := promotion.New(promotion.Options{
 		Host: o.Host, Domain: o.Domain, Store: o.Store, Catalog: follower.Snapshot,
 		Lease: registry.Lease, Hosts: registry.Live, Promoter: o.Promoter, Inspector: g.Inspector(),
-		Failing: g.Failing, Log: d.log, Registry: o.Registry,
+		Failing: g.Failing, Terms: leaders, LeaderEpoch: g.LeaderEpoch, FindLeader: g.FindLeader,
+		Coordinates: func(service string) bool { return coordinates(o.Host, service, registry.Hosts()) },
+		Fenced:      func() bool { return d.Settings().Fenced },
+		Log:         d.log, Registry: o.Registry,
 	})
 
 	readiness, err := o.ServeReadiness(func() bool { return d.ready.Load() && !d.isolated.Load() })
@@ -187,6 +201,7 @@
 	go limiter.Run(background)
 	go pool.Run(background, func(server *catalog.Server) bool { return keepConnections(follower.Snapshot(), server) })
 	go promotionRunner.Run(ctx)
+	go leaders.Run(background)
 	registryDone := make(chan struct{})
 	go func() {
 		defer close(registryDone)
@@ -205,6 +220,21 @@
 	return nil
 }
 
+// maxCoordinators is the number of hosts that complete the promotions of a service that
+// others have begun.
+const maxCoordinators = 3
+
+// coordinates reports whether a host is one of the coordinators of a service.
+func coordinates(self, service string, all []hosts.Host) bool {
+	hosts.Rank(all, service)
+	for _, h := range all[:min(len(all), maxCoordinators)] {
+		if h.Name == self {
+			return true
+		}
+	}
+	return false
+}
+
 // accounts returns the accounts of the current configuration, or nil without one.
 func accounts(snapshot *catalog.Snapshot) map[string]*catalog.Account {
 	if snapshot.Config == nil {
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -161,23 +161,26 @@
 	return hosts, len(in)
 }
 
-// Count returns the number of hosts that may be running, including those that
-// disappeared less than goneRetention ago. It is at least 1.
-func (r *Registry) Count() int {
+// Counted returns the hosts that may be running, including those that disappeared less
+// than goneRetention ago.
+func (r *Registry) Counted() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	count := 0
+	counted := make([]Host, 0, len(r.known))
 	for name, s := range r.known {
 		if !s.goneSince.IsZero() && now.Sub(s.goneSince) > goneRetention {
 			delete(r.known, name)
 			continue
 		}
-		count++
+		counted = append(counted, s.Host)
 	}
-	return max(1, count)
+	return counted
 }
 
+// Count returns the number of hosts that may be running. It is at least 1.
+func (r *Registry) Count() int { return max(1, len(r.Counted())) }
+
 // Run registers the host and renews its lease until ctx ends, and then revokes it.
 func (r *Registry) Run(ctx context.Context) {
 	started := r.now()
--- /dev/null
+++ b/internal/leadership/core.go
@@ -0,0 +1,260 @@
+// Package leadership decides whether this host may use the leaders of services, and
+// takes that right from all hosts before another leader is appointed.
+//
+// An instance that was replaced as the leader may not know it and still accept writes.
+// Therefore hosts vouch for each other: a host uses leaders only while a quorum of the
+// hosts has recently confirmed it, directly or through other hosts. To replace a
+// leader, a host closes its term. A host that knows of a closed term passes this on
+// with every heartbeat, so that a host whose confirmations are newer than the closing
+// knows of it as well. Closing ends when all hosts have acknowledged it, or when a
+// quorum has and the confirmations from before have expired.
+//
+// Invariant: after CloseTerm has returned, no host uses the leader of that term or of
+// an earlier one.
+package leadership
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bramleylever/bramleylever/lease"
+)
+
+const (
+	// confirmationTTL is how long a host may use leaders after a quorum of hosts
+	// confirmed it.
+	confirmationTTL = 2 * time.Second
+	// maxStoreSilence is how long confirmations count although no host has read the
+	// closed terms from the store. A host that closes a term without a quorum waits
+	// for that long.
+	maxStoreSilence = 15 * time.Second
+)
+
+// Heartbeat is what a host tells another one about the fleet.
+type Heartbeat struct {
+	// Ages tells for each host, by the hash of its name, how long before this
+	// heartbeat it was known to be running.
+	Ages map[uint32]time.Duration
+	// Closed holds the newest closed term of each service that has one.
+	Closed map[string]uint64
+	// StoreAge is how long before this heartbeat a host read the closed terms from
+	// the store; negative if that is not known.
+	StoreAge time.Duration
+	// Confirms says that the sender knows the closed terms. Otherwise its heartbeat
+	// confirms nobody, itself included.
+	Confirms bool
+}
+
+// Core is the state of a host. It does no I/O and is safe for concurrent use.
+type Core struct {
+	self   string
+	quorum *lease.Quorum
+
+	mu      sync.Mutex
+	members []string
+	// names maps the hashes of the members' names to the names.
+	names  map[uint32]string
+	closed map[string]uint64
+	// storeRead is when a host last read the closed terms from the store; ownRead is
+	// when this host did.
+	storeRead time.Time
+	ownRead   time.Time
+	// lostAt is when the lease was last found to have ended; zero while it is held.
+	lostAt time.Time
+
+	// until is the end of the lease in Unix nanoseconds of the clock.
+	until atomic.Int64
+	// published is a copy of closed for the request path.
+	published atomic.Pointer[map[string]uint64]
+}
+
+// NewCore returns the state of a host that knows only itself.
+func NewCore(self string) *Core {
+	c := &Core{self: self, quorum: lease.NewQuorum(confirmationTTL, lease.DefaultMargin), closed: map[string]uint64{}}
+	c.SetMembers([]string{self})
+	c.publish()
+	return c
+}
+
+func hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// SetMembers sets the names of all hosts that may be running, this host included.
+func (c *Core) SetMembers(members []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.members = members
+	c.names = make(map[uint32]string, len(members))
+	for _, name := range members {
+		c.names[hash(name)] = name
+	}
+}
+
+// Tick confirms this host by itself and recomputes the end of the lease.
+func (c *Core) Tick(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ownRead.IsZero() {
+		c.quorum.Confirm(c.self, now)
+	}
+	c.updateLease(now)
+}
+
+func (c *Core) updateLease(now time.Time) {
+	until := c.quorum.Until(c.members)
+	if limit := c.storeRead.Add(maxStoreSilence); c.storeRead.IsZero() || limit.Before(until) {
+		until = limit
+	}
+	// A host without a quorum may rely on the store, where the closed terms are
+	// written first.
+	usable := confirmationTTL - time.Duration(lease.DefaultMargin*float64(confirmationTTL))
+	if own := c.ownRead.Add(usable); !c.ownRead.IsZero() && own.After(until) {
+		until = own
+	}
+	c.until.Store(until.UnixNano())
+	switch {
+	case until.After(now):
+		c.lostAt = time.Time{}
+	case c.lostAt.IsZero():
+		c.lostAt = now
+	}
+}
+
+// Valid reports whether the host may use leaders now.
+func (c *Core) Valid(now time.Time) bool { return now.UnixNano() < c.until.Load() }
+
+// Lost returns for how long the lease has been found to be lost; zero while it is held.
+func (c *Core) Lost(now time.Time) time.Duration {
+	if c.Valid(now) {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lostAt.IsZero() {
+		return time.Nanosecond
+	}
+	return max(now.Sub(c.lostAt), time.Nanosecond)
+}
+
+// Remaining returns how long the lease remains valid without further confirmations.
+func (c *Core) Remaining(now time.Time) time.Duration {
+	return max(0, time.Duration(c.until.Load()-now.UnixNano()))
+}
+
+// Closed returns the newest closed term of a service; 0 if none is closed.
+func (c *Core) Closed(service string) uint64 { return (*c.published.Load())[service] }
+
+// ClosedTerms returns the newest closed term of each service that has one. The result
+// must not be modified.
+func (c *Core) ClosedTerms() map[string]uint64 { return *c.published.Load() }
+
+// Close closes all terms of a service up to the given one. It reports whether that
+// changed anything.
+func (c *Core) Close(service string, epoch uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closeTerm(service, epoch) {
+		return false
+	}
+	c.publish()
+	return true
+}
+
+func (c *Core) closeTerm(service string, epoch uint64) bool {
+	if epoch <= c.closed[service] {
+		return false
+	}
+	c.closed[service] = epoch
+	return true
+}
+
+func (c *Core) publish() {
+	copied := maps.Clone(c.closed)
+	c.published.Store(&copied)
+}
+
+// RecordStoreRead records the closed terms that the store returned to a request that
+// was sent at the given time.
+func (c *Core) RecordStoreRead(sent, now time.Time, closed map[string]uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.merge(closed)
+	if sent.After(c.ownRead) {
+		c.ownRead = sent
+	}
+	if sent.After(c.storeRead) {
+		c.storeRead = sent
+	}
+	c.updateLease(now)
+}
+
+// merge adds closed terms.
+func (c *Core) merge(closed map[string]uint64) {
+	changed := false
+	for service, epoch := range closed {
+		changed = c.closeTerm(service, epoch) || changed
+	}
+	if changed {
+		c.publish()
+	}
+}
+
+// Confirms reports whether this host knows the closed terms.
+func (c *Core) Confirms() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.ownRead.IsZero()
+}
+
+// Heartbeat returns what this host knows at the given time.
+func (c *Core) Heartbeat(now time.Time) Heartbeat {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := Heartbeat{
+		Ages: map[uint32]time.Duration{}, Closed: maps.Clone(c.closed), StoreAge: -1,
+		Confirms: !c.ownRead.IsZero(),
+	}
+	if !c.storeRead.IsZero() {
+		h.StoreAge = now.Sub(c.storeRead)
+	}
+	for id, name := range c.names {
+		at := c.quorum.Confirmed(name)
+		if name == c.self && h.Confirms {
+			at = now
+		}
+		if age := now.Sub(at); !at.IsZero() && age < confirmationTTL {
+			h.Ages[id] = age
+		}
+	}
+	return h
+}
+
+// Merge adds the answer of another host to a request that was sent at the given time.
+// The terms that it knows to be closed are merged before its confirmations count.
+func (c *Core) Merge(sent, now time.Time, h Heartbeat) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.merge(h.Closed)
+	if !h.Confirms {
+		return
+	}
+	for id, age := range h.Ages {
+		if name, ok := c.names[id]; ok && name != c.self {
+			c.quorum.Confirm(name, sent.Add(-age))
+		}
+	}
+	if at := sent.Add(-h.StoreAge); h.StoreAge >= 0 && at.After(c.storeRead) {
+		c.storeRead = at
+	}
+	c.updateLease(now)
+}
+
+// MergeClosed adds terms that another host knows to be closed.
+func (c *Core) MergeClosed(closed map[string]uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.merge(closed)
+}
--- /dev/null
+++ b/internal/leadership/runner.go
@@ -0,0 +1,222 @@
+package leadership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/clock"
+	"github.com/bramleylever/bramleylever/internal/hosts"
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/peer"
+	"github.com/bramleylever/bramleylever/internal/platform"
+)
+
+const (
+	// tickInterval is how often a host asks some of its neighbors.
+	tickInterval = 150 * time.Millisecond
+	// callsPerTick is the number of neighbors that are asked in one tick.
+	callsPerTick = 2
+	// heartbeatTimeout bounds one call to a neighbor.
+	heartbeatTimeout = 300 * time.Millisecond
+	// storeTimeout bounds a read of the closed terms.
+	storeTimeout = 800 * time.Millisecond
+	// fleetReadInterval is the mean time between two reads of the closed terms by any
+	// host of the fleet, while all is well.
+	fleetReadInterval = 2 * time.Second
+	// urgentReadInterval is the time between two reads of a host without a quorum.
+	urgentReadInterval = 400 * time.Millisecond
+	// lowRemaining is the remaining validity of the lease below which the host reads
+	// the store.
+	lowRemaining = confirmationTTL / 4
+)
+
+// Options configures a Runner.
+type Options struct {
+	Self  string
+	Store platform.Store
+	Peers *peer.Pool
+	// Hosts returns the registered hosts, and Counted also those that are not
+	// registered any more but may still be running.
+	Hosts   func() []hosts.Host
+	Counted func() []hosts.Host
+	// Revisions returns the catalog revisions that this host knows, and Hint takes
+	// those that another host knows.
+	Revisions func() catalog.Revisions
+	Hint      func(catalog.Revisions)
+	// DemoteHere asks an instance, over this host's connections, to become a replica.
+	DemoteHere func(ctx context.Context, serverID string, epoch uint64) error
+	Log        *zap.Logger
+	Registry   metrics.Registry
+}
+
+// Runner exchanges heartbeats with other hosts and closes terms.
+type Runner struct {
+	options Options
+	core    *Core
+	now     func() time.Time
+	lost    metrics.Counter
+
+	mu sync.Mutex
+	// asking holds the neighbors with a call in flight.
+	asking map[string]bool
+	// lastRead is when the last read of the store ended, and nextRead when the next one
+	// is due unless it is urgent. reading says that a read is running.
+	lastRead time.Time
+	nextRead time.Time
+	reading  bool
+	// valid is whether the lease was held at the last tick.
+	valid bool
+}
+
+// New returns a runner; Run starts it.
+func New(o Options) *Runner {
+	return &Runner{
+		options: o, core: NewCore(o.Self), now: clock.Now, asking: map[string]bool{},
+		lost: metrics.GetOrRegisterCounter("leadership.lease_lost_count", o.Registry),
+	}
+}
+
+// Lost returns for how long this host has not been allowed to use leaders; zero while
+// it is.
+func (r *Runner) Lost() time.Duration { return r.core.Lost(r.now()) }
+
+// Closed returns the newest closed term of a service; 0 if none is closed.
+func (r *Runner) Closed(service string) uint64 { return r.core.Closed(service) }
+
+// Run exchanges heartbeats until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		r.tick(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Runner) tick(ctx context.Context) {
+	now := r.now()
+	r.core.SetMembers(names(r.options.Counted()))
+	r.core.Tick(now)
+	r.logTransition(now)
+	for _, h := range r.chooseNeighbors() {
+		go r.ask(ctx, h)
+	}
+	if r.startRead(now) {
+		go r.readStore(ctx)
+	}
+}
+
+func names(all []hosts.Host) []string {
+	out := make([]string, 0, len(all))
+	for _, h := range all {
+		out = append(out, h.Name)
+	}
+	return out
+}
+
+// logTransition logs when the right to use leaders is lost or obtained.
+func (r *Runner) logTransition(now time.Time) {
+	valid := r.core.Valid(now)
+	r.mu.Lock()
+	changed := valid != r.valid
+	r.valid = valid
+	r.mu.Unlock()
+	if !changed {
+		return
+	}
+	if !valid {
+		r.lost.Inc(1)
+	}
+	r.options.Log.Info("lease for the use of leaders changed", zap.String(logging.FieldDecision, "use_leaders"),
+		zap.Bool("valid", valid), zap.Int("hosts", len(r.options.Counted())))
+}
+
+// chooseNeighbors picks the neighbors to ask in this tick and marks them as asked.
+func (r *Runner) chooseNeighbors() []hosts.Host {
+	candidates := neighbors(r.options.Self, r.options.Hosts())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var chosen []hosts.Host
+	for _, i := range rand.Perm(len(candidates)) {
+		if h := candidates[i]; !r.asking[h.Name] && len(chosen) < callsPerTick {
+			r.asking[h.Name] = true
+			chosen = append(chosen, h)
+		}
+	}
+	return chosen
+}
+
+// ask requests a heartbeat from another host.
+func (r *Runner) ask(ctx context.Context, h hosts.Host) {
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.asking, h.Name)
+	}()
+	conn, err := r.options.Peers.Conn(h.Address)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	request := &peerv1.HeartbeatRequest{
+		Closed: closedToProto(r.core.ClosedTerms()), Revisions: revisionsToProto(r.options.Revisions()),
+	}
+	sent := r.now()
+	reply, err := peerv1.NewLeadershipClient(conn).Heartbeat(ctx, request)
+	if err != nil {
+		return
+	}
+	r.core.Merge(sent, r.now(), heartbeatFromProto(reply))
+	r.options.Hint(revisionsFromProto(reply.GetRevisions()))
+}
+
+// startRead reports whether a read of the store is due, and marks it as running.
+func (r *Runner) startRead(now time.Time) bool {
+	urgent := r.core.Remaining(now) < lowRemaining
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	due := !now.Before(r.nextRead) || urgent && now.Sub(r.lastRead) >= urgentReadInterval
+	if r.reading || !due {
+		return false
+	}
+	r.reading = true
+	return true
+}
+
+// readInterval returns the time between two reads of the store by this host. It is
+// random, so that the reads of the hosts are spread.
+func (r *Runner) readInterval() time.Duration {
+	mean := time.Duration(len(r.options.Hosts())) * fleetReadInterval
+	return mean/2 + rand.N(mean)
+}
+
+// readStore reads the closed terms from the store.
+func (r *Runner) readStore(ctx context.Context) {
+	interval := r.readInterval()
+	sent := r.now()
+	closed, err := r.loadClosed(ctx)
+	if err == nil {
+		r.core.RecordStoreRead(sent, r.now(), closed)
+	}
+	if !r.core.Confirms() {
+		// Until the first read this host confirms nobody.
+		interval = urgentReadInterval
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reading = false
+	r.lastRead = r.now()
+	r.nextRead = r.lastRead.Add(interval)
+}
--- /dev/null
+++ b/internal/leadership/service.go
@@ -0,0 +1,121 @@
+package leadership
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/catalog"
+)
+
+// service implements the gRPC service on a Runner.
+type service struct {
+	peerv1.UnimplementedLeadershipServer
+	runner *Runner
+}
+
+// Register adds the gRPC service for other hosts to a server.
+func (r *Runner) Register(s grpc.ServiceRegistrar) {
+	peerv1.RegisterLeadershipServer(s, service{runner: r})
+}
+
+// Heartbeat implements the gRPC service.
+func (s service) Heartbeat(_ context.Context, request *peerv1.HeartbeatRequest) (*peerv1.HeartbeatReply, error) {
+	r := s.runner
+	r.core.MergeClosed(closedFromProto(request.GetClosed()))
+	r.options.Hint(revisionsFromProto(request.GetRevisions()))
+	return heartbeatToProto(r.core.Heartbeat(r.now()), r.options.Revisions()), nil
+}
+
+// CloseTerm implements the gRPC service. No statement is sent to a leader of the term
+// after the reply, and no answer of it counts any more.
+func (s service) CloseTerm(_ context.Context, request *peerv1.CloseTermRequest) (*peerv1.CloseTermReply, error) {
+	closed := request.GetClosed()
+	if closed.GetService() == "" || closed.GetEpoch() == 0 {
+		return nil, status.Error(codes.InvalidArgument, "closed: service and epoch are required")
+	}
+	s.runner.closeLocally(closed.GetService(), closed.GetEpoch())
+	return &peerv1.CloseTermReply{}, nil
+}
+
+// Demote implements the gRPC service.
+func (s service) Demote(ctx context.Context, request *peerv1.DemoteRequest) (*peerv1.DemoteReply, error) {
+	if request.GetEpoch() == 0 {
+		return nil, status.Error(codes.InvalidArgument, "epoch is required")
+	}
+	if err := s.runner.options.DemoteHere(ctx, request.GetServerId(), request.GetEpoch()); err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &peerv1.DemoteReply{}, nil
+}
+
+func closedToProto(closed map[string]uint64) []*peerv1.ClosedTerm {
+	out := make([]*peerv1.ClosedTerm, 0, len(closed))
+	for name, epoch := range closed {
+		out = append(out, &peerv1.ClosedTerm{Service: name, Epoch: epoch})
+	}
+	return out
+}
+
+func closedFromProto(closed []*peerv1.ClosedTerm) map[string]uint64 {
+	out := make(map[string]uint64, len(closed))
+	for _, c := range closed {
+		out[c.GetService()] = max(out[c.GetService()], c.GetEpoch())
+	}
+	return out
+}
+
+func revisionsToProto(r catalog.Revisions) *peerv1.CatalogRevisions {
+	return &peerv1.CatalogRevisions{Operator: r.Operator, Servers: r.Servers}
+}
+
+func revisionsFromProto(r *peerv1.CatalogRevisions) catalog.Revisions {
+	return catalog.Revisions{Operator: r.GetOperator(), Servers: r.GetServers()}
+}
+
+// unknownAge stands for a store age that is not known.
+const unknownAge = ^uint32(0)
+
+// ageToProto rounds up, so that nothing looks younger than it is.
+func ageToProto(age time.Duration) uint32 {
+	return uint32((age + time.Millisecond - 1) / time.Millisecond)
+}
+
+func ageFromProto(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func heartbeatToProto(h Heartbeat, revisions catalog.Revisions) *peerv1.HeartbeatReply {
+	reply := &peerv1.HeartbeatReply{
+		Hosts: make([]uint32, 0, len(h.Ages)), AgesMs: make([]uint32, 0, len(h.Ages)),
+		Closed: closedToProto(h.Closed), StoreAgeMs: unknownAge, Confirms: h.Confirms,
+		Revisions: revisionsToProto(revisions),
+	}
+	for id, age := range h.Ages {
+		reply.Hosts = append(reply.Hosts, id)
+		reply.AgesMs = append(reply.AgesMs, ageToProto(age))
+	}
+	if h.StoreAge >= 0 && h.StoreAge < maxStoreSilence {
+		reply.StoreAgeMs = ageToProto(h.StoreAge)
+	}
+	return reply
+}
+
+func heartbeatFromProto(reply *peerv1.HeartbeatReply) Heartbeat {
+	h := Heartbeat{
+		Ages: make(map[uint32]time.Duration, len(reply.GetHosts())), Closed: closedFromProto(reply.GetClosed()),
+		StoreAge: -1, Confirms: reply.GetConfirms(),
+	}
+	ages := reply.GetAgesMs()
+	for i, id := range reply.GetHosts() {
+		if i < len(ages) {
+			h.Ages[id] = ageFromProto(ages[i])
+		}
+	}
+	if reply.GetStoreAgeMs() != unknownAge {
+		h.StoreAge = ageFromProto(reply.GetStoreAgeMs())
+	}
+	return h
+}
--- a/internal/promotion/decide.go
+++ b/internal/promotion/decide.go
@@ -19,8 +19,8 @@
 
 const (
 	// suspectQuorumDivisor is the reciprocal of the fraction of hosts that must fail
-	// to reach a primary before it is replaced. Replacing a primary that some hosts
-	// still reach costs little, because it keeps the role until the new one has it.
+	// to reach a primary before it is replaced. The others lose a primary that still
+	// serves them, but only until the new one leads.
 	suspectQuorumDivisor = 3
 	// missingPrimaryDelay is how long a service has no registered primary before a
 	// host acts on it.
@@ -37,6 +37,9 @@
 	Draining    Reason = "draining"
 	Evacuated   Reason = "failure_domain_evacuated"
 	NoPrimary   Reason = "no_primary"
+	// TermEnded means that the term of the last primary was closed and no instance
+	// leads a newer one: a promotion was not completed.
+	TermEnded Reason = "term_ended"
 )
 
 // Suspicion is a host's report that it cannot reach a primary.
@@ -83,6 +86,10 @@
 type Candidate struct {
 	Server   *catalog.Server
 	Received position.Position
+	// Primary says that the instance leads the term Epoch; otherwise Epoch is the
+	// newest term that it knows.
+	Primary bool
+	Epoch   uint64
 }
 
 // eligibleCandidates returns the instances that may be promoted.
@@ -99,10 +106,22 @@
 	return out
 }
 
-// mostAdvanced returns the candidate with the highest received position, or nil.
+// newestEpoch returns the newest term that any of the candidates knows.
+func newestEpoch(found []Candidate) uint64 {
+	var newest uint64
+	for i := range found {
+		newest = max(newest, found[i].Epoch)
+	}
+	return newest
+}
+
+// mostAdvanced returns the replica with the highest received position, or nil.
 func mostAdvanced(found []Candidate) *Candidate {
 	var best *Candidate
 	for i := range found {
+		if found[i].Primary {
+			continue
+		}
 		if best == nil || found[i].Received.Compare(best.Received) > 0 {
 			best = &found[i]
 		}
--- a/internal/promotion/duty.go
+++ b/internal/promotion/duty.go
@@ -36,12 +36,19 @@
 	}
 }
 
+// holdsDuty reports whether this host holds a duty and its lease lasts long enough for
+// an order.
+func (r *Runner) holdsDuty(state *serviceState) bool {
+	id, valid := r.options.Lease()
+	return state.token != 0 && state.lease == id && valid > minLeaseValidity
+}
+
 // acquireDuty takes the duty for a service or confirms that this host still holds it.
 func (r *Runner) acquireDuty(ctx context.Context, service string, state *serviceState) bool {
-	id, valid := r.options.Lease()
-	if state.token != 0 && state.lease == id && valid > minLeaseValidity {
+	if r.holdsDuty(state) {
 		return true
 	}
+	id, valid := r.options.Lease()
 	state.token, state.orderedInstance = 0, ""
 	now := r.now()
 	if valid <= minLeaseValidity || now.Before(state.acquireAfter) {
@@ -62,12 +69,21 @@
 		}
 		return false
 	}
+	if !r.options.Fenced() {
+		if err := r.adoptOrder(ctx, service, state); err != nil {
+			r.options.Log.Warn("could not learn of an earlier order", zap.String("service", service), zap.Error(err))
+			state.pendingTarget, state.pendingUntil = unknownTarget, r.now().Add(lateOrderTime)
+		}
+	}
 	state.token, state.lease = revision, id
 	r.options.Log.Info("promotion duty taken", zap.String(logging.FieldDecision, "take_duty"),
 		zap.String("service", service), zap.Int64("token", revision))
 	return true
 }
 
+// unknownTarget stands for the target of an order that could not be read.
+const unknownTarget = "unknown"
+
 // releaseDuty gives up the duty for a service. The next holder gets a higher token.
 func (r *Runner) releaseDuty(ctx context.Context, service string, state *serviceState) {
 	token := state.token
--- /dev/null
+++ b/internal/promotion/handover.go
@@ -0,0 +1,159 @@
+package promotion
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/leadership"
+	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/position"
+)
+
+// Terms ends the use of leaders by all hosts.
+type Terms interface {
+	// Closed returns the newest closed term of a service; 0 if none is closed.
+	Closed(service string) uint64
+	// MarkClosed records that a term has ended, for a leader that has lost its role.
+	MarkClosed(service string, epoch uint64)
+	// CloseTerm returns nil once no host uses a leader of the term or an earlier one.
+	CloseTerm(ctx context.Context, service string, epoch uint64) error
+	// Demote makes an instance a replica if it leads a term below the given one.
+	Demote(ctx context.Context, serverID string, epoch uint64) error
+}
+
+const (
+	// handOverTimeout bounds the wait until no host uses the old primary any more.
+	handOverTimeout = 20 * time.Second
+	// catchUpTimeout is how long a promotion waits for the target to receive the log
+	// of a primary that was demoted for it, and catchUpInterval how often it checks.
+	catchUpTimeout  = 400 * time.Millisecond
+	catchUpInterval = 15 * time.Millisecond
+	// lateOrderTime is how long an order without a reply may still be carried out.
+	lateOrderTime = 8 * time.Second
+)
+
+// handOver makes sure that no host uses the old primary before another instance is
+// promoted. The promotion must follow while the duty is held.
+func (r *Runner) handOver(ctx context.Context, service string, state *serviceState, primary *catalog.Server, plan promotionPlan) error {
+	epoch := max(plan.epoch, r.options.LeaderEpoch(service))
+	if err := r.recordHandOver(ctx, service, state, leadership.Record{ClosedEpoch: epoch, Target: plan.target.Server.ID, Token: state.token}); err != nil {
+		return err
+	}
+	if state.closedEpoch >= epoch {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if primary != nil && plan.planned {
+		if err := r.demote(ctx, service, primary, epoch); err == nil {
+			r.waitCaughtUp(ctx, primary, plan.target)
+			state.closedEpoch = epoch
+			return nil
+		}
+	}
+	results := make(chan error, 2)
+	calls := 1
+	go func() { results <- r.options.Terms.CloseTerm(ctx, service, epoch) }()
+	if primary != nil && !plan.planned {
+		calls++
+		go func() { results <- r.demote(ctx, service, primary, epoch) }()
+	}
+	var errs []error
+	for range calls {
+		err := <-results
+		if err == nil {
+			state.closedEpoch = epoch
+			return nil
+		}
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
+// demote takes the lead from the old primary. Afterwards nothing can be written there,
+// whichever host tries.
+func (r *Runner) demote(ctx context.Context, service string, primary *catalog.Server, epoch uint64) error {
+	err := r.options.Terms.Demote(ctx, primary.ID, epoch+1)
+	r.options.Log.Info("old primary demoted", zap.String(logging.FieldDecision, "demote"), zap.String("service", service),
+		zap.String(logging.FieldInstance, primary.ID), zap.Uint64(logging.FieldTerm, epoch), zap.Error(err))
+	if err == nil {
+		r.options.Terms.MarkClosed(service, epoch)
+	}
+	return err
+}
+
+// waitCaughtUp waits until the target has received the log of the demoted primary, so
+// that a planned change loses no commit.
+func (r *Runner) waitCaughtUp(ctx context.Context, primary *catalog.Server, target *Candidate) {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	var end position.Position
+	for ctx.Err() == nil {
+		if end.IsZero() {
+			if report, err := r.options.Inspector.Status(ctx, primary); err == nil {
+				end = report.Received
+			}
+		}
+		report, err := r.options.Inspector.Status(ctx, target.Server)
+		if err == nil && !end.IsZero() && report.Received.Compare(end) >= 0 {
+			target.Received = report.Received
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(catchUpInterval):
+		}
+	}
+	r.options.Log.Warn("target of the promotion has not caught up", zap.String(logging.FieldStep, "catch up"),
+		zap.String(logging.FieldInstance, target.Server.ID), zap.Stringer("received", target.Received), zap.Stringer("expected", end))
+}
+
+// recordHandOver writes the record of a hand-over, if this host still holds the duty.
+func (r *Runner) recordHandOver(ctx context.Context, service string, state *serviceState, record leadership.Record) error {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err = r.options.Store.Txn(ctx, platform.Txn{
+		Compares: []platform.Compare{{Key: dutyPrefix + service, ModRevision: state.token}},
+		Puts:     []platform.Put{{Key: leadership.RecordPrefix + service, Value: value}},
+	})
+	if errors.Is(err, platform.ErrConflict) {
+		return fmt.Errorf("record hand-over: the duty was lost: %w", ErrSuperseded)
+	}
+	if err != nil {
+		return fmt.Errorf("record hand-over: %w", err)
+	}
+	return nil
+}
+
+// adoptOrder learns from the store whether an earlier duty holder has ordered a
+// promotion that may still be carried out.
+func (r *Runner) adoptOrder(ctx context.Context, service string, state *serviceState) error {
+	item, _, err := r.options.Store.Get(ctx, leadership.RecordPrefix+service)
+	if err != nil {
+		return fmt.Errorf("read hand-over: %w", err)
+	}
+	if item.ModRevision == 0 {
+		return nil
+	}
+	var record leadership.Record
+	if err := json.Unmarshal(item.Value, &record); err != nil {
+		return fmt.Errorf("read hand-over: key %s: %w", item.Key, err)
+	}
+	r.options.Terms.MarkClosed(service, record.ClosedEpoch)
+	if record.Answered || record.Target == "" {
+		return nil
+	}
+	state.pendingTarget, state.pendingUntil = record.Target, r.now().Add(lateOrderTime)
+	return nil
+}
--- a/internal/promotion/order.go
+++ b/internal/promotion/order.go
@@ -10,46 +10,88 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/leadership"
 	"github.com/bramleylever/bramleylever/internal/logging"
 )
 
-// promote chooses an instance and orders its promotion.
+// promotionPlan is what a promotion is based on.
+type promotionPlan struct {
+	target *Candidate
+	// epoch is the newest term that an instance of the service knows.
+	epoch uint64
+	// planned says that the old primary still works.
+	planned bool
+}
+
+// promote chooses an instance, ends the use of the old primary and orders the
+// promotion.
 func (r *Runner) promote(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot, primary *catalog.Server, reason Reason) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	started := r.now()
-	target, err := r.chooseTarget(ctx, service, snapshot, primary)
-	if err == nil && state.orderedInstance != "" && state.orderedInstance != target.Server.ID {
+	plan, err := r.plan(ctx, service, state, snapshot, primary)
+	plan.planned = reason == Draining || reason == Evacuated
+	switch {
+	case err != nil:
+	case plan.target == nil:
+		// An instance leads a newer term already.
+		return
+	case state.orderedInstance != "" && state.orderedInstance != plan.target.Server.ID:
 		// The earlier order may still be carried out; only an order with a higher
 		// token takes precedence over it.
 		r.releaseDuty(ctx, service, state)
 		return
+	case !r.options.Fenced():
+		err = r.handOver(ctx, service, state, primary, plan)
+	}
+	if err == nil && !r.holdsDuty(state) {
+		err = fmt.Errorf("order promotion: the lease of the duty ends: %w", ErrSuperseded)
 	}
 	if err == nil {
 		r.orders.Inc(1)
-		state.orderedInstance, state.retryAt = target.Server.ID, r.now().Add(promotionTimeout)
-		err = r.order(ctx, service, target.Server.ID, state.token)
+		state.orderedInstance, state.retryAt = plan.target.Server.ID, r.now().Add(promotionTimeout)
+		err = r.order(ctx, service, plan.target.Server.ID, state.token)
+		r.recordAnswer(ctx, service, state, plan, err)
+	}
+	r.logPromotion(service, state, primary, plan, reason, r.now().Sub(started), err)
+	switch {
+	case err == nil:
+		state.promotedAt = r.now()
+	case errors.Is(err, ErrSuperseded):
+		r.releaseDuty(ctx, service, state)
+	default:
+		// The order can be repeated with the same token, because it is idempotent.
+		state.retryAt = r.now().Add(orderRetryDelay)
 	}
+}
+
+func (r *Runner) logPromotion(service string, state *serviceState, primary *catalog.Server, plan promotionPlan, reason Reason, took time.Duration, err error) {
 	fields := []zap.Field{
 		zap.String(logging.FieldDecision, "promote"), zap.String("service", service),
 		zap.String(logging.FieldReason, string(reason)), zap.Int64("token", state.token),
-		zap.Duration("took", r.now().Sub(started)), zap.Error(err),
+		zap.Duration("took", took), zap.Error(err),
 	}
 	if primary != nil {
 		fields = append(fields, zap.String("old_primary", primary.ID))
 	}
-	if target != nil {
-		fields = append(fields, zap.String(logging.FieldInstance, target.Server.ID), zap.Stringer("received", target.Received))
+	if plan.target != nil {
+		fields = append(fields, zap.String(logging.FieldInstance, plan.target.Server.ID), zap.Stringer("received", plan.target.Received),
+			zap.Uint64(logging.FieldTerm, plan.epoch))
 	}
 	r.options.Log.Info("promotion ordered", fields...)
-	switch {
-	case err == nil:
-		state.promotedAt = r.now()
-	case errors.Is(err, ErrSuperseded):
-		r.releaseDuty(ctx, service, state)
-	default:
-		// The order can be repeated with the same token, because it is idempotent.
-		state.retryAt = r.now().Add(orderRetryDelay)
+}
+
+// recordAnswer records that the order was answered, so that the next duty holder needs
+// not expect it to be carried out late.
+func (r *Runner) recordAnswer(ctx context.Context, service string, state *serviceState, plan promotionPlan, orderErr error) {
+	if r.options.Fenced() {
+		return
+	}
+	if orderErr != nil && !errors.Is(orderErr, ErrSuperseded) {
+		state.pendingTarget, state.pendingUntil = plan.target.Server.ID, r.now().Add(lateOrderTime)
+		return
+	}
+	record := leadership.Record{ClosedEpoch: plan.epoch, Target: plan.target.Server.ID, Token: state.token, Answered: true}
+	if err := r.recordHandOver(ctx, service, state, record); err != nil {
+		r.options.Log.Warn("could not record that the order was answered", zap.String("service", service), zap.Error(err))
 	}
 }
 
@@ -62,19 +104,32 @@
 	return r.options.Promoter.Promote(ctx, service, id, r.options.Host, token)
 }
 
-// chooseTarget asks all candidates for their received position and returns the most
-// advanced one. If replicas confirm commits, it pauses the candidates, and resumes them if
+// plan asks all candidates for their received position and chooses the most advanced
+// one. The target is nil if an instance leads a newer term than the closed ones
+// already. If replicas confirm commits, it pauses the candidates, and resumes them if
 // it finds no target.
-func (r *Runner) chooseTarget(ctx context.Context, service string, snapshot *catalog.Snapshot, primary *catalog.Server) (*Candidate, error) {
+func (r *Runner) plan(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot, primary *catalog.Server) (promotionPlan, error) {
 	sync := 0
 	if s := snapshot.Service(service); s != nil {
 		sync = s.SyncReplicas
 	}
 	all := eligibleCandidates(snapshot, service, primary)
 	reports := r.queryCandidates(ctx, all, sync > 0)
+	closed := r.options.Terms.Closed(service)
+	for i := range reports {
+		if !r.options.Fenced() && reports[i].Primary && reports[i].Epoch > closed {
+			return promotionPlan{}, nil
+		}
+	}
+	plan := promotionPlan{epoch: max(newestEpoch(reports), r.options.LeaderEpoch(service), closed)}
 	replicas := len(snapshot.Groups[service]) - 1
-	if target := mostAdvanced(reports); target != nil && coversAcknowledged(len(reports), replicas, sync) {
-		return target, nil
+	target, err := r.pendingFirst(state, reports)
+	if err != nil {
+		return plan, err
+	}
+	if target != nil && coversAcknowledged(len(reports), replicas, sync) {
+		plan.target = target
+		return plan, nil
 	}
 	if sync > 0 {
 		for _, report := range reports {
@@ -83,7 +138,22 @@
 			}
 		}
 	}
-	return nil, fmt.Errorf("%d of %d replicas answered: %w", len(reports), replicas, ErrNotReady)
+	return plan, fmt.Errorf("%d of %d replicas answered: %w", len(reports), replicas, ErrNotReady)
+}
+
+// pendingFirst returns the most advanced candidate. As long as an earlier order may be
+// carried out on a platform that does not check fencing tokens, only the instance
+// that it named may be ordered.
+func (r *Runner) pendingFirst(state *serviceState, reports []Candidate) (*Candidate, error) {
+	if r.options.Fenced() || state.pendingTarget == "" || !r.now().Before(state.pendingUntil) {
+		return mostAdvanced(reports), nil
+	}
+	for i := range reports {
+		if reports[i].Server.ID == state.pendingTarget {
+			return &reports[i], nil
+		}
+	}
+	return nil, fmt.Errorf("an order for %s may still be carried out: %w", state.pendingTarget, ErrNotReady)
 }
 
 // inspectTimeout bounds the wait for the replies of the candidates.
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -43,6 +43,40 @@
 	orders []order
 	answer error
 	paused map[string]bool
+	fenced bool
+	terms  *fakeTerms
+}
+
+// fakeTerms implements Terms for one service.
+type fakeTerms struct {
+	leader uint64
+	closed uint64
+	// inUse makes CloseTerm fail, and undemotable makes Demote fail.
+	inUse       bool
+	undemotable bool
+	// events lists the calls in order.
+	events []string
+}
+
+func (f *fakeTerms) Closed(string) uint64 { return f.closed }
+
+func (f *fakeTerms) MarkClosed(_ string, epoch uint64) { f.closed = max(f.closed, epoch) }
+
+func (f *fakeTerms) CloseTerm(_ context.Context, _ string, epoch uint64) error {
+	f.MarkClosed("", epoch)
+	if f.inUse {
+		return errors.New("in use")
+	}
+	f.events = append(f.events, "closed")
+	return nil
+}
+
+func (f *fakeTerms) Demote(context.Context, string, uint64) error {
+	if f.undemotable {
+		return errors.New("silent")
+	}
+	f.events = append(f.events, "demoted")
+	return nil
 }
 
 type order struct {
@@ -76,6 +110,11 @@
 	return w.Status(ctx, server)
 }
 
+// Demote implements Inspector.
+func (w *fakeFleet) Demote(_ context.Context, server *catalog.Server, _ uint64) (Candidate, error) {
+	return Candidate{Server: server, Received: w.received[server.ID]}, nil
+}
+
 // Resume implements Inspector.
 func (w *fakeFleet) Resume(_ context.Context, server *catalog.Server) error {
 	w.mu.Lock()
@@ -90,7 +129,7 @@
 func newFakeFleet(hosts, sync int) *fakeFleet {
 	w := &fakeFleet{
 		now: time.Now(), received: map[string]position.Position{"p": at(100), "r1": at(90), "r2": at(95)},
-		failing: map[string]bool{}, paused: map[string]bool{},
+		failing: map[string]bool{}, paused: map[string]bool{}, fenced: true, terms: &fakeTerms{},
 	}
 	w.memory = platformtest.NewMemory(func() time.Time { return w.now })
 	group := []*catalog.Server{
@@ -113,6 +152,9 @@
 			Lease:    func() (platform.LeaseID, time.Duration) { return lease, time.Hour },
 			Hosts:    func() (int, int) { return hosts, domains },
 			Promoter: w, Inspector: w, Failing: func(*catalog.Server) bool { return w.failing[name] },
+			Terms: w.terms, LeaderEpoch: func(string) uint64 { return w.terms.leader }, FindLeader: func(string) bool { return false },
+			Coordinates: func(string) bool { return true }, Fenced: func() bool { return w.fenced },
+
 			Log: zap.NewNop(), Registry: metrics.NewRegistry(),
 		})
 		r.now = func() time.Time { return w.now }
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -37,7 +37,7 @@
 	minPromotionInterval = 3 * time.Second
 	// minLeaseValidity is the minimum remaining validity of the host's lease for
 	// using a duty, so that the lease does not expire during an order.
-	minLeaseValidity = 300 * time.Millisecond
+	minLeaseValidity = orderTimeout + 100*time.Millisecond
 )
 
 var (
@@ -63,6 +63,8 @@
 	// Pause stops a replica from receiving from primaries of its current term and of
 	// earlier ones, and returns the position that it has received.
 	Pause(ctx context.Context, server *catalog.Server) (Candidate, error)
+	// Demote makes the instance a replica if it leads a term below the given one.
+	Demote(ctx context.Context, server *catalog.Server, epoch uint64) (Candidate, error)
 	// Resume ends a pause.
 	Resume(ctx context.Context, server *catalog.Server) error
 }
@@ -79,7 +81,19 @@
 	Inspector Inspector
 	// Failing reports whether this host's own traffic fails to reach the primary of
 	// a service.
-	Failing  func(primary *catalog.Server) bool
+	Failing func(primary *catalog.Server) bool
+	Terms   Terms
+	// LeaderEpoch returns the newest term of a service's leader that this host knows,
+	// and FindLeader looks for a leader of an open term and reports whether it found
+	// one.
+	LeaderEpoch func(service string) uint64
+	FindLeader  func(service string) bool
+	// Coordinates reports whether this host is one of the few that complete the
+	// promotions that others have begun.
+	Coordinates func(service string) bool
+	// Fenced says that the platform refuses orders with an old fencing token, and that
+	// a primary loses its role when another one takes it.
+	Fenced   func() bool
 	Log      *zap.Logger
 	Registry metrics.Registry
 }
@@ -99,6 +113,9 @@
 	busy            bool
 	reportedSuspect string
 	missingSince    time.Time
+	// leaderlessSince is since when the newest term is closed without a known
+	// successor.
+	leaderlessSince time.Time
 	acquireAfter    time.Time
 	readAfter       time.Time
 	promotedAt      time.Time
@@ -109,6 +126,13 @@
 	// orderedInstance is the instance whose promotion was ordered with the token.
 	orderedInstance string
 	retryAt         time.Time
+	// pendingTarget is the instance of an order, by this host or an earlier duty
+	// holder, that may be carried out until pendingUntil.
+	pendingTarget string
+	pendingUntil  time.Time
+	// closedEpoch is the newest term of which this host knows that no host uses its
+	// leader.
+	closedEpoch uint64
 }
 
 // New returns a runner; Run starts it.
@@ -175,7 +199,8 @@
 	if state.orderedInstance != "" && now.Before(state.retryAt) {
 		return
 	}
-	if (reason == Unreachable || reason == NoPrimary) && now.Sub(state.promotedAt) < minPromotionInterval {
+	unplanned := reason != Draining && reason != Evacuated
+	if unplanned && now.Sub(state.promotedAt) < minPromotionInterval {
 		return
 	}
 	if !r.acquireDuty(ctx, service, state) {
@@ -187,6 +212,28 @@
 	r.promote(ctx, service, state, snapshot, primary, reason)
 }
 
+// leaderless reports whether the newest known term has been closed for a while and no
+// instance leads a newer one.
+func (r *Runner) leaderless(service string, state *serviceState) bool {
+	closed := r.options.Terms.Closed(service)
+	if closed == 0 || r.options.LeaderEpoch(service) > closed || !r.options.Coordinates(service) {
+		state.leaderlessSince = time.Time{}
+		return false
+	}
+	now := r.now()
+	if state.leaderlessSince.IsZero() {
+		state.leaderlessSince = now
+	}
+	if now.Sub(state.leaderlessSince) < promotionTimeout {
+		return false
+	}
+	if r.options.FindLeader(service) {
+		state.leaderlessSince = time.Time{}
+		return false
+	}
+	return true
+}
+
 // updateSuspicion keeps this host's suspicion in the store in line with its own
 // traffic, and returns the reason to replace the primary, if there is one.
 func (r *Runner) updateSuspicion(ctx context.Context, service string, state *serviceState, primary *catalog.Server) Reason {
@@ -200,6 +247,9 @@
 		return NoPrimary
 	}
 	state.missingSince = time.Time{}
+	if r.leaderless(service, state) {
+		return TermEnded
+	}
 	suspected := ""
 	if r.options.Failing(primary) {
 		suspected = primary.ID
--- a/internal/relay/convert.go
+++ b/internal/relay/convert.go
@@ -53,7 +53,7 @@
 	}
 	if r.Instance != nil {
 		out.Instance = &peerv1.RelayInstance{
-			Primary: r.Instance.Primary, Received: toPosition(r.Instance.Received), LagMs: r.Instance.Lag.Milliseconds(),
+			Primary: r.Instance.Primary, Term: r.Instance.Term, Received: toPosition(r.Instance.Received), LagMs: r.Instance.Lag.Milliseconds(),
 		}
 	}
 	return out
@@ -66,7 +66,7 @@
 	}
 	if in := r.GetInstance(); in != nil {
 		out.Instance = &statement.Instance{
-			Primary: in.GetPrimary(), Received: fromPosition(in.GetReceived()), Lag: time.Duration(in.GetLagMs()) * time.Millisecond,
+			Primary: in.GetPrimary(), Term: in.GetTerm(), Received: fromPosition(in.GetReceived()), Lag: time.Duration(in.GetLagMs()) * time.Millisecond,
 		}
 	}
 	return out
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -14,8 +14,8 @@
 // Kind is the operation that a statement requests.
 type Kind uint8
 
-// The kinds of statements. Reset, Status, Pause and Resume are sent only by the gateway
-// itself and are not accepted from callers.
+// The kinds of statements. Reset, Status, Pause, Resume and Demote are sent only by the
+// gateway itself and are not accepted from callers.
 const (
 	Invalid Kind = iota
 	Begin
@@ -31,10 +31,11 @@
 	Status
 	Pause
 	Resume
+	Demote
 )
 
 var kindNames = [...]string{"invalid", "begin", "commit", "rollback", "read", "write", "set", "prepare",
-	"execute", "deallocate", "reset", "status", "pause", "resume"}
+	"execute", "deallocate", "reset", "status", "pause", "resume", "demote"}
 
 // String returns the name used in logs.
 func (k Kind) String() string { return kindNames[k] }
@@ -59,7 +60,7 @@
 	Text string
 	// After is the log position that the instance must have applied; zero means any.
 	After position.Position
-	// Term is the term of a Pause.
+	// Term is the term of a Pause or a Demote.
 	Term uint64
 	// Problem says why an Invalid statement could not be parsed.
 	Problem string
@@ -115,13 +116,15 @@
 	State     State
 	// Position is the end of the answering instance's log; zero if not known.
 	Position position.Position
-	// Instance is set in the answer to a Status, a Pause or a Resume.
+	// Instance is set in the answer to a Status, a Pause, a Resume or a Demote.
 	Instance *Instance
 }
 
 // Instance is the state of an instance as reported by itself.
 type Instance struct {
 	Primary bool
+	// Term is the newest term that the instance knows.
+	Term uint64
 	// Received is the end of the log that the instance has received; it may not have
 	// applied all of it yet.
 	Received position.Position
