--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,11 @@
 	// Closed returns the newest term of a service whose leader must not be used any
 	// more, nor those of earlier terms; 0 if there is none.
 	Closed(service string) uint64
+	// Leader returns the instance that has proved to this host or to another one that
+	// it leads the newest term of a service; the term is 0 if none is known.
+	Leader(service string) (instance string, epoch uint64)
+	// AddLeader records such a proof.
+	AddLeader(service, instance string, epoch uint64)
 }
 
 // openTerms allows the use of every leader.
@@ -44,6 +49,10 @@
 
 func (openTerms) Closed(string) uint64 { return 0 }
 
+func (openTerms) Leader(string) (string, uint64) { return "", 0 }
+
+func (openTerms) AddLeader(string, string, uint64) {}
+
 // Options configures a Gateway.
 type Options struct {
 	Catalog   func() *catalog.Snapshot
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -156,6 +156,13 @@
 	h.leaders[server.Service] = leader{id: server.ID, term: term, at: now}
 }
 
+// newestEpoch returns the newest term of a service that an instance proved to lead.
+func (h *health) newestEpoch(service string) uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.epochs[service]
+}
+
 // recordNotLeader records that an instance answered that it is not the leader.
 func (h *health) recordNotLeader(server *catalog.Server, now time.Time) {
 	h.mu.Lock()
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -50,6 +50,7 @@
 	if g.options.Terms.Lost() > 0 {
 		return nil
 	}
+	g.adoptLeader(snapshot, service)
 	for range snapshot.Groups[service] {
 		server := g.likelyLeader(snapshot, service, tried, now)
 		if server == nil || !g.ended(server) {
@@ -65,9 +66,8 @@
 // LeaderEpoch returns the newest term of a service's leader that this host knows; 0 if
 // it knows none.
 func (g *Gateway) LeaderEpoch(service string) uint64 {
-	g.health.mu.Lock()
-	defer g.health.mu.Unlock()
-	return g.health.epochs[service]
+	_, shared := g.options.Terms.Leader(service)
+	return max(shared, g.health.newestEpoch(service))
 }
 
 // FindLeader looks for the leader of an open term of a service. It reports whether
@@ -89,6 +89,21 @@
 	return err
 }
 
+// adoptLeader takes over what another host has found out about the leader of a service
+// whose term was closed.
+func (g *Gateway) adoptLeader(snapshot *catalog.Snapshot, service string) {
+	closed := g.options.Terms.Closed(service)
+	if closed == 0 {
+		return
+	}
+	id, epoch := g.options.Terms.Leader(service)
+	server := snapshot.Servers[id]
+	if epoch <= closed || server == nil || epoch <= g.health.newestEpoch(service) {
+		return
+	}
+	g.health.recordLeader(server, position.Term{Epoch: epoch}, g.now())
+}
+
 // proveLeader asks an instance whether it leads a term that is not closed. Concurrent
 // calls share one request.
 func (g *Gateway) proveLeader(server *catalog.Server) error {
@@ -105,6 +120,7 @@
 			return nil, outcome.Wrap("prove leader", server.ID, err)
 		}
 		g.health.recordLeader(server, position.Term{Epoch: report.Epoch}, g.now())
+		g.options.Terms.AddLeader(server.Service, server.ID, report.Epoch)
 		g.log.Info("leader of a new term found", zap.String(logging.FieldDecision, "use_leader"),
 			zap.String("service", server.Service), zap.String(logging.FieldInstance, server.ID),
 			zap.Uint64(logging.FieldTerm, report.Epoch))
--- a/internal/leadership/core.go
+++ b/internal/leadership/core.go
@@ -44,11 +44,19 @@
 	// StoreAge is how long before this heartbeat a host read the closed terms from
 	// the store; negative if that is not known.
 	StoreAge time.Duration
+	// Leaders holds the newest leaders known to the sender, by service.
+	Leaders map[string]Leader
 	// Confirms says that the sender knows the closed terms. Otherwise its heartbeat
 	// confirms nobody, itself included.
 	Confirms bool
 }
 
+// Leader is an instance that has proved to lead a term.
+type Leader struct {
+	Instance string
+	Epoch    uint64
+}
+
 // Core is the state of a host. It does no I/O and is safe for concurrent use.
 type Core struct {
 	self   string
@@ -59,6 +67,8 @@
 	// names maps the hashes of the members' names to the names.
 	names  map[uint32]string
 	closed map[string]uint64
+	// leaders holds the newest proved leader of each service that had a closed term.
+	leaders map[string]Leader
 	// storeRead is when a host last read the closed terms from the store; ownRead is
 	// when this host did.
 	storeRead time.Time
@@ -74,7 +84,7 @@
 
 // NewCore returns the state of a host that knows only itself.
 func NewCore(self string) *Core {
-	c := &Core{self: self, quorum: lease.NewQuorum(confirmationTTL, lease.DefaultMargin), closed: map[string]uint64{}}
+	c := &Core{self: self, quorum: lease.NewQuorum(confirmationTTL, lease.DefaultMargin), closed: map[string]uint64{}, leaders: map[string]Leader{}}
 	c.SetMembers([]string{self})
 	c.publish()
 	return c
@@ -214,7 +224,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h := Heartbeat{
-		Ages: map[uint32]time.Duration{}, Closed: maps.Clone(c.closed), StoreAge: -1,
+		Ages: map[uint32]time.Duration{}, Closed: maps.Clone(c.closed), Leaders: maps.Clone(c.leaders), StoreAge: -1,
 		Confirms: !c.ownRead.IsZero(),
 	}
 	if !c.storeRead.IsZero() {
@@ -238,6 +248,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.merge(h.Closed)
+	for service, leader := range h.Leaders {
+		c.addLeader(service, leader)
+	}
 	if !h.Confirms {
 		return
 	}
@@ -252,6 +265,27 @@
 	c.updateLease(now)
 }
 
+// AddLeader records that an instance has proved to lead a term of a service.
+func (c *Core) AddLeader(service string, leader Leader) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addLeader(service, leader)
+}
+
+func (c *Core) addLeader(service string, leader Leader) {
+	if leader.Epoch > c.leaders[service].Epoch {
+		c.leaders[service] = leader
+	}
+}
+
+// Leader returns the newest proved leader of a service, or false if none is known.
+func (c *Core) Leader(service string) (Leader, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	leader, ok := c.leaders[service]
+	return leader, ok
+}
+
 // MergeClosed adds terms that another host knows to be closed.
 func (c *Core) MergeClosed(closed map[string]uint64) {
 	c.mu.Lock()
--- a/internal/leadership/core_test.go
+++ b/internal/leadership/core_test.go
@@ -39,7 +39,7 @@
 func newSimulation(hosts int, guards safeguards) *simulation {
 	s := &simulation{
 		guards: guards,
-		now: time.Unix(1000, 0), cores: map[string]*Core{}, frozen: map[string]time.Time{}, stored: map[string]uint64{},
+		now:    time.Unix(1000, 0), cores: map[string]*Core{}, frozen: map[string]time.Time{}, stored: map[string]uint64{},
 	}
 	for i := range hosts {
 		s.names = append(s.names, fmt.Sprintf("h%d", i))
--- a/internal/leadership/runner.go
+++ b/internal/leadership/runner.go
@@ -90,6 +90,20 @@
 // Closed returns the newest closed term of a service; 0 if none is closed.
 func (r *Runner) Closed(service string) uint64 { return r.core.Closed(service) }
 
+// Leader returns the instance that has proved to lead the newest term of a service, and
+// that term; the term is 0 if none is known. Only services that had a closed term have
+// one.
+func (r *Runner) Leader(service string) (instance string, epoch uint64) {
+	leader, _ := r.core.Leader(service)
+	return leader.Instance, leader.Epoch
+}
+
+// AddLeader records that an instance has proved to lead a term of a service. The other
+// hosts learn of it from heartbeats.
+func (r *Runner) AddLeader(service, instance string, epoch uint64) {
+	r.core.AddLeader(service, Leader{Instance: instance, Epoch: epoch})
+}
+
 // Run exchanges heartbeats until ctx ends.
 func (r *Runner) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
--- a/internal/leadership/service.go
+++ b/internal/leadership/service.go
@@ -93,6 +93,9 @@
 		Closed: closedToProto(h.Closed), StoreAgeMs: unknownAge, Confirms: h.Confirms,
 		Revisions: revisionsToProto(revisions),
 	}
+	for name, leader := range h.Leaders {
+		reply.Leaders = append(reply.Leaders, &peerv1.Leader{Service: name, Epoch: leader.Epoch, ServerId: leader.Instance})
+	}
 	for id, age := range h.Ages {
 		reply.Hosts = append(reply.Hosts, id)
 		reply.AgesMs = append(reply.AgesMs, ageToProto(age))
@@ -106,7 +109,10 @@
 func heartbeatFromProto(reply *peerv1.HeartbeatReply) Heartbeat {
 	h := Heartbeat{
 		Ages: make(map[uint32]time.Duration, len(reply.GetHosts())), Closed: closedFromProto(reply.GetClosed()),
-		StoreAge: -1, Confirms: reply.GetConfirms(),
+		Leaders: make(map[string]Leader, len(reply.GetLeaders())), StoreAge: -1, Confirms: reply.GetConfirms(),
+	}
+	for _, l := range reply.GetLeaders() {
+		h.Leaders[l.GetService()] = Leader{Instance: l.GetServerId(), Epoch: l.GetEpoch()}
 	}
 	ages := reply.GetAgesMs()
 	for i, id := range reply.GetHosts() {
