Let a few hosts of each failure domain follow the store for the others

Change: in large fleets the first two live hosts of each failure domain watch; they announce changes, and the others fetch them from each other by revision.Replica, with the age of their knowledge in the heartbeats.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -42,6 +42,9 @@
 	log       *zap.Logger
 	now       func() time.Time
 
+	relaying Relaying
+	started  time.Time
+
 	current  atomic.Pointer[Snapshot]
 	operator *subscription
 	servers  *subscription
@@ -56,7 +59,7 @@
 func NewFollower(store platform.Store, layout Layout, drainTime func() time.Duration, log *zap.Logger) *Follower {
 	f := &Follower{
 		store: store, layout: layout, drainTime: drainTime, log: log, now: time.Now,
-		view: newView(), changed: make(chan struct{}),
+		view: newView(), changed: make(chan struct{}), started: time.Now(),
 	}
 	f.operator = newSubscription(f, layout.OperatorPrefix)
 	f.servers = newSubscription(f, layout.ServerPrefix)
@@ -142,7 +145,9 @@
 			f.apply(platform.Event{KeyValue: platform.KeyValue{Key: key}, Deleted: true})
 		}
 	}
-	f.view.confirm(prefix, asked)
+	if !asked.IsZero() {
+		f.view.confirm(prefix, asked)
+	}
 	f.publish()
 }
 
--- a/internal/catalog/subscription.go
+++ b/internal/catalog/subscription.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/revision"
 )
 
 const (
@@ -40,6 +42,23 @@
 	Servers  int64
 }
 
+// entries are the values below a prefix, by key. A value of this type is not modified
+// once it is the state of a replica.
+type entries map[string]platform.KeyValue
+
+// applyEvents returns the entries after some changes.
+func applyEvents(old entries, events []platform.Event) entries {
+	next := maps.Clone(old)
+	for _, event := range events {
+		if event.Deleted {
+			delete(next, event.Key)
+			continue
+		}
+		next[event.Key] = event.KeyValue
+	}
+	return next
+}
+
 // subscription follows the changes of one prefix.
 type subscription struct {
 	follower *Follower
@@ -49,14 +68,15 @@
 	reread chan struct{}
 
 	mu sync.Mutex
+	// replica holds the entries and the recent changes for other hosts. Its revision is
+	// that of the last full read or of the last change: a watch that ends without a
+	// change proves nothing, because the store may have skipped changes while it
+	// compacted its history.
+	replica *revision.Replica[entries, []platform.Event]
 	// next is the revision from which a watch resumes; 0 requires a full read.
 	next int64
-	// newest is the revision of the newest change that arrived. covered is the revision
-	// up to which all changes are known to have arrived: that of a full read or of a
-	// change. A watch that ends without a change proves nothing, because the store may
-	// have skipped changes while it compacted its history.
-	newest  int64
-	covered int64
+	// newest is the revision of the newest change that arrived.
+	newest int64
 	// confirmedAt is when the store or another host last confirmed that this host is up
 	// to date. behindSince is when a hint first showed a newer revision, or when such a
 	// hint last requested a full read; zero if the last hint showed none.
@@ -64,12 +84,20 @@
 	behindSince time.Time
 	// resync is closed, and replaced by a new channel, to request a full read.
 	resync chan struct{}
+
+	// applying serializes the updates from the store and from other hosts.
+	applying sync.Mutex
 }
 
+// keptChanges is the number of changes that are kept for other hosts; a host that
+// lacks more gets all entries.
+const keptChanges = 128
+
 func newSubscription(f *Follower, prefix string) *subscription {
 	return &subscription{
 		follower: f, prefix: prefix, reread: make(chan struct{}, 1), resync: make(chan struct{}),
-		log: f.log.With(zap.String(logging.FieldStep, "follow catalog"), zap.String("prefix", prefix)),
+		replica: revision.New(revision.Options{Keep: keptChanges}, applyEvents),
+		log:     f.log.With(zap.String(logging.FieldStep, "follow catalog"), zap.String("prefix", prefix)),
 	}
 }
 
@@ -89,19 +117,26 @@
 
 // hint compares the revision of the newest change that another host knows with the
 // changes that arrived here.
-func (s *subscription) hint(revision int64) {
+func (s *subscription) hint(known int64) {
 	now := s.follower.now()
+	relayed := s.follower.relayed()
+	grace := hintGrace
+	if relayed {
+		grace = relayedHintGrace
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case revision <= s.covered:
+	case known <= s.replica.Revision():
 		s.behindSince = time.Time{}
-		if revision >= s.newest {
+		// Where hosts follow each other, a hint does not tell how old the other
+		// host's knowledge is.
+		if known >= s.newest && !relayed {
 			s.confirmedAt = now
 		}
 	case s.behindSince.IsZero():
 		s.behindSince = now
-	case now.Sub(s.behindSince) >= hintGrace:
+	case now.Sub(s.behindSince) >= grace:
 		s.behindSince = now
 		select {
 		case s.reread <- struct{}{}:
@@ -117,12 +152,49 @@
 }
 
 // recordRead records a full read: the revision of the read and of its newest change.
-func (s *subscription) recordRead(asOf, newest int64) {
+func (s *subscription) recordRead(items []platform.KeyValue, asOf int64, asked time.Time) {
+	state := make(entries, len(items))
+	var newest int64
+	for _, item := range items {
+		newest = max(newest, item.ModRevision)
+		state[item.Key] = item
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.next = asOf + 1
-	s.covered, s.newest = max(s.covered, asOf), max(s.newest, newest)
-	s.confirmedAt = s.follower.now()
+	s.newest = max(s.newest, newest)
+	if !maps.EqualFunc(state, s.replica.State(), sameRevision) || s.replica.Revision() == 0 {
+		s.replica.Adopt(asOf, state)
+	}
+	s.confirm(asked)
+}
+
+func sameRevision(a, b platform.KeyValue) bool { return a.ModRevision == b.ModRevision }
+
+// confirm records that the store had no later change at the given time. The caller
+// holds the lock.
+func (s *subscription) confirm(at time.Time) {
+	now := s.follower.now()
+	s.replica.ConfirmByStore(now, at)
+	s.confirmedAt = now
+}
+
+// lacks reports whether the changes up to a revision have not all arrived.
+func (s *subscription) lacks(revision int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return revision >= s.replica.Revision()
+}
+
+// apply applies an update that a watch delivered, unless it has arrived from another
+// host before.
+func (s *subscription) apply(update *platform.WatchUpdate) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	if len(update.Events) == 0 || s.lacks(update.Revision) {
+		s.follower.applyUpdate(s.prefix, update)
+	}
+	s.recordUpdate(update)
 }
 
 // recordUpdate records an update that a watch delivered.
@@ -131,7 +203,13 @@
 	defer s.mu.Unlock()
 	s.next = max(s.next, update.Revision+1)
 	if len(update.Events) > 0 {
-		s.covered, s.newest = max(s.covered, update.Revision), max(s.newest, update.Revision)
+		s.newest = max(s.newest, update.Revision)
+		s.replica.Apply(revision.Change[[]platform.Event]{
+			Previous: s.replica.Revision(), Revision: update.Revision, Body: update.Events,
+		})
+	}
+	if !update.RequestedAt.IsZero() {
+		s.confirm(update.RequestedAt)
 	}
 	s.confirmedAt = s.follower.now()
 }
@@ -163,6 +241,9 @@
 	pause := minRetryDelay
 	for ctx.Err() == nil {
 		resync := s.resyncRequested()
+		if s.followPeers(ctx) {
+			continue
+		}
 		answered, err := s.syncOnce(ctx, resync)
 		if ctx.Err() != nil {
 			return
@@ -212,16 +293,16 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	asked := s.follower.now()
-	items, revision, err := s.follower.store.List(ctx, s.prefix)
+	items, asOf, err := s.follower.store.List(ctx, s.prefix)
 	if err != nil {
 		return err
 	}
-	var newest int64
-	for i := range items {
-		newest = max(newest, items[i].ModRevision)
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	if s.lacks(asOf) {
+		s.follower.replace(s.prefix, items, asked)
 	}
-	s.follower.replace(s.prefix, items, asked)
-	s.recordRead(revision, newest)
+	s.recordRead(items, asOf, asked)
 	return nil
 }
 
@@ -256,6 +337,9 @@
 			if s.sinceConfirmed() > maxSilence && s.follower.now().Sub(opened) > maxSilence {
 				return answered, nil
 			}
+			if s.peersSuffice() {
+				return answered, nil
+			}
 		case update, open := <-updates:
 			if !open {
 				return answered, ctx.Err()
@@ -263,8 +347,7 @@
 			if update.Err != nil {
 				return answered, update.Err
 			}
-			s.follower.applyUpdate(s.prefix, &update)
-			s.recordUpdate(&update)
+			s.apply(&update)
 			answered = true
 		}
 	}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -102,15 +103,15 @@
 func (d *Daemon) Reload(r Reloadable) { d.current.Store(&r) }
 
 const (
-	// watchPerHost is multiplied by the number of hosts to get the length of a watch.
-	// As the watches of the fleet end at different times, about one of them ends every
-	// watchPerHost, and its host passes what it learned to the others by hints.
-	watchPerHost = 250 * time.Millisecond
+	// watchPerWatcher is multiplied by the number of hosts that watch the store to get
+	// the length of a watch. As their watches end at different times, about one of them
+	// ends every watchPerWatcher, and its host passes what it learned to the others.
+	watchPerWatcher = 500 * time.Millisecond
 	// minWatch is the minimum length of a watch, also used by a host that gets no
 	// hints. A configuration must be in force 3 s after the store is stable again, and
 	// becoming stable takes the store 4 s.
 	minWatch = 3500 * time.Millisecond
-	maxWatch = 20 * time.Second
+	maxWatch = 6 * time.Second
 )
 
 // WatchTime returns how long the next watch of the store waits for a change. It is
@@ -120,8 +121,11 @@
 	if registry == nil {
 		return minWatch
 	}
-	known, _ := registry.Live()
-	limit := min(maxWatch, time.Duration(known)*watchPerHost)
+	known, domains := registry.Live()
+	if known <= hosts.MaxSmallFleet {
+		return minWatch
+	}
+	limit := min(maxWatch, time.Duration(domains*leadership.WatchersPerDomain)*watchPerWatcher)
 	return max(minWatch, limit/2+rand.N(limit/2+1))
 }
 
@@ -153,10 +157,11 @@
 		Self: o.Host, Pool: pool, Peers: peers, Hosts: registry.Hosts, Catalog: follower.Snapshot,
 		Revisions: follower.Revisions, Hint: follower.Hint, Reachability: detector.peers, Log: d.log, Registry: o.Registry,
 	})
+	exchange := catalog.NewExchange(follower, hosts.Host{Name: o.Host, Domain: o.Domain}, registry.Hosts, peers, d.log)
 	var g *gateway.Gateway
 	leaders := leadership.New(leadership.Options{
 		Self: o.Host, Store: o.Store, Peers: peers, Hosts: registry.Hosts, Counted: registry.Counted,
-		Revisions: follower.Revisions, Hint: follower.Hint, Log: d.log, Registry: o.Registry,
+		Revisions: follower.Revisions, Hint: follower.Hint, Catalog: exchange, Log: d.log, Registry: o.Registry,
 		DemoteHere: func(ctx context.Context, id string, epoch uint64) error { return g.Demote(ctx, id, epoch) },
 	})
 	server, err := peer.Listen(o.PeerAddress, o.Registry)
@@ -171,6 +176,8 @@
 	router.Register(server, g)
 	limiter.Register(server)
 	leaders.Register(server)
+	exchange.Register(server)
+	d.relayCatalog(follower, registry, leaders)
 	go func() {
 		if err := server.Serve(); err != nil {
 			d.log.Error("peer server failed", zap.Error(err))
@@ -202,6 +209,7 @@
 	go pool.Run(background, func(server *catalog.Server) bool { return keepConnections(follower.Snapshot(), server) })
 	go promotionRunner.Run(ctx)
 	go leaders.Run(background)
+	go exchange.Run(background)
 	registryDone := make(chan struct{})
 	go func() {
 		defer close(registryDone)
@@ -220,6 +228,21 @@
 	return nil
 }
 
+// relayCatalog makes a few hosts of each failure domain follow the store for the others
+// in a large fleet.
+func (d *Daemon) relayCatalog(follower *catalog.Follower, registry *hosts.Registry, leaders *leadership.Runner) {
+	follower.SetRelaying(catalog.Relaying{
+		Enabled: func() bool {
+			known, _ := registry.Live()
+			return known > hosts.MaxSmallFleet
+		},
+		Watches: func() bool {
+			watchers := leadership.Watchers(d.options.Domain, leaders.Alive())
+			return slices.ContainsFunc(watchers, func(h hosts.Host) bool { return h.Name == d.options.Host })
+		},
+	})
+}
+
 // maxCoordinators is the number of hosts that complete the promotions of a service that
 // others have begun.
 const maxCoordinators = 3
--- a/internal/leadership/core.go
+++ b/internal/leadership/core.go
@@ -278,6 +278,12 @@
 	}
 }
 
+// Alive reports whether a host was known to be running within confirmationTTL.
+func (c *Core) Alive(name string, now time.Time) bool {
+	at := c.quorum.Confirmed(name)
+	return !at.IsZero() && now.Sub(at) < confirmationTTL
+}
+
 // Leader returns the newest proved leader of a service, or false if none is known.
 func (c *Core) Leader(service string) (Leader, bool) {
 	c.mu.Lock()
--- a/internal/leadership/handover.go
+++ b/internal/leadership/handover.go
@@ -151,7 +151,7 @@
 	defer cancel()
 	results := make(chan error, maxDemoteHosts+1)
 	go func() { results <- r.options.DemoteHere(ctx, serverID, epoch) }()
-	helpers := neighbors(r.options.Self, r.options.Hosts())
+	helpers := neighbors(r.options.Self, r.options.Hosts(), r.Alive())
 	helpers = helpers[:min(len(helpers), maxDemoteHosts)]
 	for _, h := range helpers {
 		go func() { results <- r.callDemote(ctx, h, serverID, epoch) }()
--- a/internal/leadership/runner.go
+++ b/internal/leadership/runner.go
@@ -50,6 +50,8 @@
 	// those that another host knows.
 	Revisions func() catalog.Revisions
 	Hint      func(catalog.Revisions)
+	// Catalog exchanges changes of the catalog with other hosts.
+	Catalog *catalog.Exchange
 	// DemoteHere asks an instance, over this host's connections, to become a replica.
 	DemoteHere func(ctx context.Context, serverID string, epoch uint64) error
 	Log        *zap.Logger
@@ -90,6 +92,19 @@
 // Closed returns the newest closed term of a service; 0 if none is closed.
 func (r *Runner) Closed(service string) uint64 { return r.core.Closed(service) }
 
+// Alive returns the registered hosts that were running recently, this host included.
+func (r *Runner) Alive() []hosts.Host {
+	now := r.now()
+	all := r.options.Hosts()
+	alive := make([]hosts.Host, 0, len(all))
+	for _, h := range all {
+		if h.Name == r.options.Self || r.core.Alive(h.Name, now) {
+			alive = append(alive, h)
+		}
+	}
+	return alive
+}
+
 // Leader returns the instance that has proved to lead the newest term of a service, and
 // that term; the term is 0 if none is known. Only services that had a closed term have
 // one.
@@ -158,7 +173,7 @@
 
 // chooseNeighbors picks the neighbors to ask in this tick and marks them as asked.
 func (r *Runner) chooseNeighbors() []hosts.Host {
-	candidates := neighbors(r.options.Self, r.options.Hosts())
+	candidates := neighbors(r.options.Self, r.options.Hosts(), r.Alive())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var chosen []hosts.Host
@@ -182,18 +197,20 @@
 	if err != nil {
 		return
 	}
+	callers := ctx
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	request := &peerv1.HeartbeatRequest{
 		Closed: closedToProto(r.core.ClosedTerms()), Revisions: revisionsToProto(r.options.Revisions()),
 	}
-	sent := r.now()
+	sent, requested := r.now(), time.Now()
 	reply, err := peerv1.NewLeadershipClient(conn).Heartbeat(ctx, request)
 	if err != nil {
 		return
 	}
 	r.core.Merge(sent, r.now(), heartbeatFromProto(reply))
 	r.options.Hint(revisionsFromProto(reply.GetRevisions()))
+	r.options.Catalog.Confirm(callers, h, requested, reply.GetCatalog())
 }
 
 // startRead reports whether a read of the store is due, and marks it as running.
--- a/internal/leadership/service.go
+++ b/internal/leadership/service.go
@@ -28,7 +28,9 @@
 	r := s.runner
 	r.core.MergeClosed(closedFromProto(request.GetClosed()))
 	r.options.Hint(revisionsFromProto(request.GetRevisions()))
-	return heartbeatToProto(r.core.Heartbeat(r.now()), r.options.Revisions()), nil
+	reply := heartbeatToProto(r.core.Heartbeat(r.now()), r.options.Revisions())
+	reply.Catalog = r.options.Catalog.Confirmations()
+	return reply, nil
 }
 
 // CloseTerm implements the gRPC service. No statement is sent to a leader of the term
