--- a/internal/catalog/peers.go
+++ b/internal/catalog/peers.go
@@ -34,6 +34,8 @@
 
 // Relaying says how the hosts of a fleet follow the catalog.
 type Relaying struct {
+	// Known says that this host knows how many hosts there are.
+	Known func() bool
 	// Enabled says that some hosts follow the store and the others follow them.
 	Enabled func() bool
 	// Watches reports whether this host follows the store.
@@ -157,7 +159,14 @@
 // the prefix.
 func (s *subscription) peersSuffice() bool {
 	f := s.follower
-	if !f.relayed() || !f.Snapshot().Complete {
+	if f.relaying.Enabled == nil || !f.Snapshot().Complete {
+		return false
+	}
+	starting := f.now().Sub(f.started) < startupWait
+	if !f.relaying.Known() {
+		return starting
+	}
+	if !f.relayed() {
 		return false
 	}
 	s.mu.Lock()
@@ -166,7 +175,7 @@
 	if !known {
 		return false
 	}
-	return !f.relaying.Watches() && age < maxPeerSilence || f.now().Sub(f.started) < startupWait
+	return !f.relaying.Watches() && age < maxPeerSilence || starting
 }
 
 // followPeers waits for a while if other hosts provide the changes. It reports whether
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -232,6 +232,7 @@
 // in a large fleet.
 func (d *Daemon) relayCatalog(follower *catalog.Follower, registry *hosts.Registry, leaders *leadership.Runner) {
 	follower.SetRelaying(catalog.Relaying{
+		Known: registry.Known,
 		Enabled: func() bool {
 			known, _ := registry.Live()
 			return known > hosts.MaxSmallFleet
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -66,6 +66,8 @@
 	id    platform.LeaseID
 	clock *lease.Clock
 	known map[string]hostState
+	// read says that the other hosts have been read.
+	read bool
 }
 
 // hostState is what is known of a host.
@@ -114,6 +116,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.read = true
 	for name, h := range present {
 		r.known[name] = hostState{Host: h}
 	}
@@ -134,6 +137,13 @@
 	return r.store.List(ctx, Prefix)
 }
 
+// Known reports whether the other hosts have been read.
+func (r *Registry) Known() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.read
+}
+
 // Hosts returns the registered hosts.
 func (r *Registry) Hosts() []Host {
 	r.mu.Lock()
