--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/peer"
 	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/revision"
 )
 
@@ -156,6 +157,7 @@
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
+			defer recovery.Contain("announce catalog", nil)
 			ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 			defer cancel()
 			// A host that misses it learns of the change from a heartbeat.
@@ -192,10 +194,10 @@
 		}
 		known := e.follower.Revisions()
 		if request.GetRevisions().GetOperator() > known.Operator {
-			go e.fetch(context.Background(), h, OperatorPart)
+			recovery.Go("fetch catalog", func() { e.fetch(context.Background(), h, OperatorPart) })
 		}
 		if request.GetRevisions().GetServers() > known.Servers {
-			go e.fetch(context.Background(), h, ServersPart)
+			recovery.Go("fetch catalog", func() { e.fetch(context.Background(), h, ServersPart) })
 		}
 	}
 	return &peerv1.AnnounceCatalogReply{}, nil
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 )
 
 const (
@@ -95,9 +96,9 @@
 // Run follows the changes in the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { f.operator.run(ctx) })
-	group.Go(func() { f.servers.run(ctx) })
-	f.expireLoop(ctx)
+	group.Go(func() { recovery.Loop(ctx, "catalog of the operators", f.operator.run) })
+	group.Go(func() { recovery.Loop(ctx, "catalog of backend servers", f.servers.run) })
+	recovery.Loop(ctx, "expiry of backend servers", f.expireLoop)
 	group.Wait()
 }
 
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -74,10 +74,12 @@
 // Exchange sends statements and marks the connection broken on an error.
 func (c *Conn) Exchange(deadline time.Time, statements ...statement.Statement) ([]statement.Result, error) {
 	sent := time.Now()
+	broken := c.broken
+	// Unless the exchange ends well, answers may be left unread.
+	c.broken = true
 	results, err := c.Link.Exchange(deadline, func() bool { return c.instance.silent(sent) }, statements...)
-	if err != nil {
-		c.broken = true
-	} else {
+	if err == nil {
+		c.broken = broken
 		c.instance.recordAnswer(sent)
 	}
 	if len(results) > 0 {
--- a/internal/failover/runner.go
+++ b/internal/failover/runner.go
@@ -19,6 +19,7 @@
 	"github.com/bramleylever/bramleylever/internal/membership"
 	"github.com/bramleylever/bramleylever/internal/peer"
 	"github.com/bramleylever/bramleylever/internal/records"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/internal/topology"
 )
 
@@ -216,7 +217,7 @@
 	prober := d.prober
 	calls, report := prober.Tick(now)
 	for _, call := range calls {
-		go func() {
+		recovery.Go("probe", func() {
 			started := time.Now()
 			status, err := r.probeConns.execute(ctx, Call{
 				Kind:     CallStatus,
@@ -225,7 +226,7 @@
 				Timeout:  ProbeTimeout,
 			})
 			r.post(func(time.Time) { prober.Result(started, call, status, err) })
-		}()
+		})
 	}
 	if report == nil {
 		return
@@ -254,10 +255,11 @@
 	for _, action := range d.coordinator.Step(now, e) {
 		switch a := action.(type) {
 		case Call:
-			go r.execute(ctx, d, a)
+			recovery.Go("failover call", func() { r.execute(ctx, d, a) })
 		case Announce:
 			r.update(a.Group)
-			go r.push(ctx, r.members, []topology.Group{a.Group})
+			members := r.members
+			recovery.Go("push topology", func() { r.push(ctx, members, []topology.Group{a.Group}) })
 		case Decision:
 			r.logDecision(d.name, a)
 		case SwitchoverDone:
--- a/internal/failover/service.go
+++ b/internal/failover/service.go
@@ -18,6 +18,7 @@
 	"github.com/bramleylever/bramleylever/internal/membership"
 	"github.com/bramleylever/bramleylever/internal/outcome"
 	"github.com/bramleylever/bramleylever/internal/peer"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/internal/topology"
 )
 
@@ -53,10 +54,10 @@
 		Database:  d.name,
 		Instances: observationsToProto(report),
 	}
-	go func() {
+	recovery.Go("probe report", func() {
+		defer r.post(func(time.Time) { d.reporting = false })
 		r.sendReport(ctx, m, request)
-		r.post(func(time.Time) { d.reporting = false })
-	}()
+	})
 }
 
 func (r *Runner) sendReport(ctx context.Context, to membership.Member, request *peerv1.ProbeReport) {
@@ -156,7 +157,7 @@
 func (r *Runner) PushTopology(_ context.Context, request *peerv1.TopologyRequest) (*peerv1.TopologyReply, error) {
 	changed := r.mergeTopology(request.GetGroups())
 	if len(changed) > 0 && request.GetSender().GetDomain() != r.options.Self.Domain {
-		go func() { r.push(r.ctx, membership.LiveIn(r.options.View, r.options.Self.Domain), changed) }()
+		recovery.Go("push topology", func() { r.push(r.ctx, membership.LiveIn(r.options.View, r.options.Self.Domain), changed) })
 	}
 	return &peerv1.TopologyReply{Sender: r.options.Self.Sender()}, nil
 }
@@ -178,7 +179,7 @@
 	if last != nil && now.Sub(*last) < fetchInterval || !r.fetchedAt.CompareAndSwap(last, &now) {
 		return
 	}
-	go r.fetch(r.ctx, from)
+	recovery.Go("fetch topology", func() { r.fetch(r.ctx, from) })
 }
 
 func (r *Runner) fetch(ctx context.Context, from membership.Member) {
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bramleylever/bramleylever/internal/pool"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/internal/wire"
 )
 
@@ -198,6 +199,7 @@
 		// The instance may stop reading until its answers are read, so the
 		// write must not block the reader.
 		go func(data []byte) {
+			defer recovery.Contain("send to instance", c.Interrupt)
 			if _, err := c.Write(data); err != nil {
 				c.Interrupt()
 			}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/bramleylever/bramleylever/internal/pool"
 	"github.com/bramleylever/bramleylever/internal/records"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/internal/routing"
 	"github.com/bramleylever/bramleylever/internal/wire"
 )
@@ -138,7 +139,7 @@
 	defer s.mu.Unlock()
 	if s.draining.Load() || len(s.sessions) >= s.cfg.MaxConnections {
 		s.metrics.refusedConnections.Inc(1)
-		go refuseConnection(conn)
+		recovery.Go("refuse connection", func() { refuseConnection(conn) })
 		return
 	}
 	s.nextPID++
@@ -332,7 +333,8 @@
 			}
 			if _, busy := s.probing.LoadOrStore(instance.Name, true); !busy {
 				s.workers.Add(1)
-				go s.probe(pool.Target{Instance: instance.Name, Address: instance.Address, Database: database.Name})
+				target := pool.Target{Instance: instance.Name, Address: instance.Address, Database: database.Name}
+				recovery.Go("probe instance", func() { s.probe(target) })
 			}
 		}
 	}
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/bramleylever/bramleylever/internal/pool"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/internal/routing"
 	"github.com/bramleylever/bramleylever/internal/wire"
 )
@@ -82,6 +83,7 @@
 
 func (s *session) run() {
 	defer s.srv.removeSession(s)
+	defer recovery.Contain("session", nil)
 	defer s.cleanup()
 	if s.startup() {
 		s.loop()
--- a/internal/gateway/sample.go
+++ b/internal/gateway/sample.go
@@ -11,6 +11,7 @@
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/internal/staleness"
 	"github.com/bramleylever/bramleylever/internal/statement"
 	"github.com/bramleylever/bramleylever/position"
@@ -112,7 +113,7 @@
 		g.fetchSample(service)
 		found, _, ok = g.bounds.Lookup(service, notBefore)
 	case ok && now.Sub(newest) >= time.Duration(renewFraction*float64(op.route.MaxStaleness)):
-		go g.fetchSample(service)
+		recovery.Go("fetch position sample", func() { g.fetchSample(service) })
 	}
 	return found, ok
 }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -87,17 +87,19 @@
 
 // Close ends the session and rolls back its open transaction, if any.
 func (s *Session) Close() {
+	g := s.gateway
+	defer func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.sessions, s)
+	}()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.closed = true
-	if s.tx != nil {
-		s.tx.rollback()
+	if tx := s.tx; tx != nil {
 		s.tx = nil
+		tx.rollback()
 	}
-	s.mu.Unlock()
-	g := s.gateway
-	g.mu.Lock()
-	delete(g.sessions, s)
-	g.mu.Unlock()
 }
 
 // closeIfIdle closes the session unless a transaction is open or a statement is
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -9,6 +9,7 @@
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/internal/staleness"
 	"github.com/bramleylever/bramleylever/internal/statement"
 )
@@ -55,7 +56,7 @@
 		return
 	}
 	tx := s.tx
-	tx.idleTimer = time.AfterFunc(limit, func() { s.abortIdle(tx) })
+	tx.idleTimer = time.AfterFunc(limit, func() { recovery.Run("end idle transaction", func() { s.abortIdle(tx) }) })
 }
 
 func (s *Session) abortIdle(tx *transaction) {
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -25,6 +25,7 @@
 	"github.com/bramleylever/bramleylever/internal/promotion"
 	"github.com/bramleylever/bramleylever/internal/quota"
 	"github.com/bramleylever/bramleylever/internal/reachability"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/internal/relay"
 )
 
@@ -204,18 +205,19 @@
 	}
 	defer func() { _ = callers.Close() }()
 
-	go follower.Run(background)
-	go limiter.Run(background)
-	go pool.Run(background, func(server *catalog.Server) bool { return keepConnections(follower.Snapshot(), server) })
-	go promotionRunner.Run(ctx)
-	go leaders.Run(background)
-	go exchange.Run(background)
+	recovery.Go("catalog", func() { follower.Run(background) })
+	go recovery.Loop(background, "quota", limiter.Run)
+	keep := func(server *catalog.Server) bool { return keepConnections(follower.Snapshot(), server) }
+	go recovery.Loop(background, "connection pool", func(ctx context.Context) { pool.Run(ctx, keep) })
+	go recovery.Loop(ctx, "promotion", promotionRunner.Run)
+	go recovery.Loop(background, "leadership", leaders.Run)
+	go recovery.Loop(background, "catalog exchange", exchange.Run)
 	registryDone := make(chan struct{})
 	go func() {
 		defer close(registryDone)
-		registry.Run(ctx)
+		recovery.Loop(ctx, "host registration", registry.Run)
 	}()
-	go d.watchIsolation(background, detector, g, registry.Hosts, router)
+	go recovery.Loop(background, "isolation", func(ctx context.Context) { d.watchIsolation(ctx, detector, g, registry.Hosts, router) })
 	if follower.WaitReady(ctx) == nil {
 		limiter.WaitRestored(ctx)
 		d.ready.Store(true)
--- a/internal/leadership/handover.go
+++ b/internal/leadership/handover.go
@@ -15,6 +15,7 @@
 	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 )
 
 // RecordPrefix is the key prefix of the hand-over records; the name of the service
@@ -36,6 +37,9 @@
 // ErrNotClosed means that another host may still use the leader of the term.
 var ErrNotClosed = errors.New("another host may still use the leader")
 
+// errCallFailed stands for the result of a call that ended by a panic.
+var errCallFailed = errors.New("the call failed")
+
 const (
 	// closeTimeout bounds one call that asks a host to stop using a leader.
 	closeTimeout = 300 * time.Millisecond
@@ -122,6 +126,7 @@
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
+			defer recovery.Contain("close term", nil)
 			if r.callClose(ctx, h, request) == nil {
 				mu.Lock()
 				defer mu.Unlock()
@@ -150,11 +155,17 @@
 	ctx, cancel := context.WithTimeout(ctx, demoteTimeout)
 	defer cancel()
 	results := make(chan error, maxDemoteHosts+1)
-	go func() { results <- r.options.DemoteHere(ctx, serverID, epoch) }()
+	demote := func(call func() error) {
+		err := errCallFailed
+		defer func() { results <- err }()
+		defer recovery.Contain("demote", nil)
+		err = call()
+	}
+	go demote(func() error { return r.options.DemoteHere(ctx, serverID, epoch) })
 	helpers := neighbors(r.options.Self, r.options.Hosts(), r.Alive())
 	helpers = helpers[:min(len(helpers), maxDemoteHosts)]
 	for _, h := range helpers {
-		go func() { results <- r.callDemote(ctx, h, serverID, epoch) }()
+		go demote(func() error { return r.callDemote(ctx, h, serverID, epoch) })
 	}
 	var errs []error
 	for range len(helpers) + 1 {
--- a/internal/leadership/runner.go
+++ b/internal/leadership/runner.go
@@ -16,6 +16,7 @@
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/peer"
 	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 )
 
 const (
@@ -139,10 +140,10 @@
 	r.core.Tick(now)
 	r.logTransition(now)
 	for _, h := range r.chooseNeighbors() {
-		go r.ask(ctx, h)
+		recovery.Go("heartbeat", func() { r.ask(ctx, h) })
 	}
 	if r.startRead(now) {
-		go r.readStore(ctx)
+		recovery.Go("read closed terms", func() { r.readStore(ctx) })
 	}
 }
 
@@ -236,18 +237,20 @@
 // readStore reads the closed terms from the store.
 func (r *Runner) readStore(ctx context.Context) {
 	interval := r.readInterval()
+	defer func() {
+		if !r.core.Confirms() {
+			// Until the first read this host confirms nobody.
+			interval = urgentReadInterval
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.reading = false
+		r.lastRead = r.now()
+		r.nextRead = r.lastRead.Add(interval)
+	}()
 	sent := r.now()
 	closed, err := r.loadClosed(ctx)
 	if err == nil {
 		r.core.RecordStoreRead(sent, r.now(), closed)
 	}
-	if !r.core.Confirms() {
-		// Until the first read this host confirms nobody.
-		interval = urgentReadInterval
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.reading = false
-	r.lastRead = r.now()
-	r.nextRead = r.lastRead.Add(interval)
 }
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -16,6 +16,7 @@
 	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/peer"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 )
 
 const (
@@ -188,6 +189,7 @@
 		r.calls.Add(1)
 		go func() {
 			defer r.calls.Done()
+			defer recovery.Contain("membership call", nil)
 			switch a := action.(type) {
 			case ExchangeCall:
 				r.exchange(ctx, a)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,8 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/stats"
+
+	"github.com/bramleylever/bramleylever/internal/recovery"
 )
 
 const (
@@ -40,14 +42,14 @@
 
 // NewServer returns a server on an open listener.
 func NewServer(listener net.Listener, registry metrics.Registry) *Server {
-	server := grpc.NewServer(
+	options := append(recovery.ServerOptions(),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.StatsHandler(NewTrafficStats(registry)),
 		// Closes the connection to a peer that became unreachable, which ends the
 		// peer's leases of connections that this host owns.
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 	)
-	return &Server{Server: server, listener: listener}
+	return &Server{Server: grpc.NewServer(options...), listener: listener}
 }
 
 // Address returns the address that the server listens on.
--- a/internal/promotion/handover.go
+++ b/internal/promotion/handover.go
@@ -13,6 +13,7 @@
 	"github.com/bramleylever/bramleylever/internal/leadership"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/position"
 )
 
@@ -39,6 +40,9 @@
 	lateOrderTime = 8 * time.Second
 )
 
+// errStepFailed stands for the result of a step that ended by a panic.
+var errStepFailed = errors.New("the step failed")
+
 // handOver makes sure that no host uses the old primary before another instance is
 // promoted. The promotion must follow while the duty is held.
 func (r *Runner) handOver(ctx context.Context, service string, state *serviceState, primary *catalog.Server, plan promotionPlan) error {
@@ -59,11 +63,17 @@
 		}
 	}
 	results := make(chan error, 2)
+	start := func(call func() error) {
+		err := errStepFailed
+		defer func() { results <- err }()
+		defer recovery.Contain("hand over", nil)
+		err = call()
+	}
 	calls := 1
-	go func() { results <- r.options.Terms.CloseTerm(ctx, service, epoch) }()
+	go start(func() error { return r.options.Terms.CloseTerm(ctx, service, epoch) })
 	if primary != nil && !plan.planned {
 		calls++
-		go func() { results <- r.demote(ctx, service, primary, epoch) }()
+		go start(func() error { return r.demote(ctx, service, primary, epoch) })
 	}
 	var errs []error
 	for range calls {
--- a/internal/promotion/order.go
+++ b/internal/promotion/order.go
@@ -12,6 +12,7 @@
 	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/leadership"
 	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 )
 
 // promotionPlan is what a promotion is based on.
@@ -172,6 +173,7 @@
 	var group sync.WaitGroup
 	for _, server := range servers {
 		group.Go(func() {
+			defer recovery.Contain("inspect candidate", nil)
 			report, err := ask(ctx, server)
 			if err != nil {
 				r.options.Log.Info("candidate did not report its position", zap.String(logging.FieldStep, "inspect"),
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -11,6 +11,7 @@
 
 	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 )
 
 // The key prefixes of duties and suspicions; the name of the service follows.
@@ -177,12 +178,20 @@
 	if busy {
 		return
 	}
-	go func() {
+	recovery.Go("promotion of "+service, func() {
+		finished := false
+		defer func() {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			state.busy = false
+			if !finished {
+				// The state may be half changed; the next step begins without a duty.
+				delete(r.services, service)
+			}
+		}()
 		r.step(ctx, service, state, snapshot)
-		r.mu.Lock()
-		state.busy = false
-		r.mu.Unlock()
-	}()
+		finished = true
+	})
 }
 
 // step checks the primary of one service and replaces it if there is a reason.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -31,6 +31,7 @@
 	"github.com/bramleylever/bramleylever/internal/peer"
 	"github.com/bramleylever/bramleylever/internal/platform"
 	"github.com/bramleylever/bramleylever/internal/records"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/internal/settings"
 	"github.com/bramleylever/bramleylever/internal/shares"
 	"github.com/bramleylever/bramleylever/internal/topology"
@@ -95,6 +96,7 @@
 		topology: topology.NewTable(),
 		weights:  drain.NewWeights(),
 	}
+	recovery.LogTo(p.log, p.registry)
 	if p.dial == nil {
 		p.dial = sourceDialer(o.Settings.Backend.SourceAddress)
 	}
@@ -274,9 +276,11 @@
 // is canceled.
 func (p *Proxy) run(ctx context.Context, name string, component func(context.Context) error) {
 	p.running.Go(func() {
-		if err := component(ctx); err != nil && ctx.Err() == nil {
-			p.log.Error("component stopped with an error", zap.String("part", name), zap.Error(err))
-		}
+		recovery.Loop(ctx, name, func(ctx context.Context) {
+			if err := component(ctx); err != nil && ctx.Err() == nil {
+				p.log.Error("component stopped with an error", zap.String("part", name), zap.Error(err))
+			}
+		})
 	})
 }
 
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -76,7 +76,9 @@
 	refusals metrics.Counter
 	borrowed metrics.Counter
 	restored chan struct{}
-	fleet    fleetView
+	// restoreOnce makes the first run of Run read the allocations.
+	restoreOnce sync.Once
+	fleet       fleetView
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -175,8 +177,10 @@
 // Run restores the allocations of an earlier process and then keeps the allocations
 // in line with the demand until ctx ends.
 func (l *Limiter) Run(ctx context.Context) {
-	l.restore(ctx)
-	close(l.restored)
+	l.restoreOnce.Do(func() {
+		defer close(l.restored)
+		l.restore(ctx)
+	})
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/records/runner.go
+++ b/internal/records/runner.go
@@ -15,6 +15,7 @@
 	"github.com/bramleylever/bramleylever/internal/membership"
 	"github.com/bramleylever/bramleylever/internal/peer"
 	"github.com/bramleylever/bramleylever/internal/platform"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/revision"
 )
 
@@ -107,11 +108,11 @@
 	wait.Add(2)
 	go func() {
 		defer wait.Done()
-		r.fetchLoop(ctx)
+		recovery.Loop(ctx, "fetch of records", r.fetchLoop)
 	}()
 	go func() {
 		defer wait.Done()
-		r.relayLoop(ctx)
+		recovery.Loop(ctx, "relay of records", r.relayLoop)
 	}()
 	wait.Wait()
 	return ctx.Err()
@@ -212,6 +213,7 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
+			defer recovery.Contain("fetch of records", nil)
 			r.logFetchError(address, r.fetch(ctx, address))
 		}()
 	}
--- a/internal/relay/position.go
+++ b/internal/relay/position.go
@@ -11,6 +11,7 @@
 	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/position"
 )
 
@@ -59,11 +60,11 @@
 	case codes.Unavailable:
 		r.ownerFailed(owner, err)
 	case codes.DeadlineExceeded:
-		go func() {
+		recovery.Go("ping connection owner", func() {
 			if err := r.Ping(context.Background(), owner); err != nil {
 				r.ownerFailed(owner, err)
 			}
-		}()
+		})
 	}
 }
 
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -12,6 +12,7 @@
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/internal/statement"
 )
 
@@ -124,7 +125,7 @@
 	_ = h.stream.CloseSend()
 	stream, cancel := h.stream, h.cancel
 	h.stream = nil
-	go func() {
+	recovery.Go("end lease", func() {
 		timer := time.AfterFunc(time.Second, cancel)
 		defer timer.Stop()
 		for {
@@ -133,7 +134,7 @@
 				return
 			}
 		}
-	}()
+	})
 }
 
 const (
@@ -167,7 +168,7 @@
 
 func (h *remoteHandle) watch() *stallWatch {
 	w := &stallWatch{remote: h}
-	w.timer = time.AfterFunc(stallTime, w.check)
+	w.timer = time.AfterFunc(stallTime, func() { recovery.Run("check connection owner", w.check) })
 	return w
 }
 
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -27,6 +27,7 @@
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/peer"
 	"github.com/bramleylever/bramleylever/internal/reachability"
+	"github.com/bramleylever/bramleylever/internal/recovery"
 )
 
 const (
@@ -175,7 +176,7 @@
 	if avoided && !a.probing && !now.Before(a.until) {
 		a.probing = true
 		r.avoid[h.Name] = a
-		go r.probe(h)
+		recovery.Go("probe connection owner", func() { r.probe(h) })
 	}
 	return avoided
 }
