Keep hosts in use that are alive although their registration expired

Change: heartbeats keep a host in the list; a host asks the store itself only if no host answers it, or after 15 s. The first watch waits for the second read of the hosts.

--- a/internal/catalog/peers.go
+++ b/internal/catalog/peers.go
@@ -12,8 +12,9 @@
 
 const (
 	// maxPeerSilence is how old the knowledge of a host that follows others may become
-	// before it asks the store itself.
-	maxPeerSilence = 6 * time.Second
+	// before it asks the store itself. While the store is away, all hosts need not find
+	// that out.
+	maxPeerSilence = 15 * time.Second
 	// relayedHintGrace takes the place of hintGrace where hosts follow each other: a
 	// change needs a moment to reach all of them.
 	relayedHintGrace = 1500 * time.Millisecond
@@ -40,6 +41,8 @@
 	Enabled func() bool
 	// Watches reports whether this host follows the store.
 	Watches func() bool
+	// Isolated reports whether no other host has answered this one lately.
+	Isolated func() bool
 }
 
 // SetRelaying makes the follower leave the watching of the store to other hosts while
@@ -175,7 +178,7 @@
 	if !known {
 		return false
 	}
-	return !f.relaying.Watches() && age < maxPeerSilence || starting
+	return starting || !f.relaying.Watches() && !f.relaying.Isolated() && age < maxPeerSilence
 }
 
 // followPeers waits for a while if other hosts provide the changes. It reports whether
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -165,6 +165,7 @@
 		Revisions: follower.Revisions, Hint: follower.Hint, Catalog: exchange, Log: d.log, Registry: o.Registry,
 		DemoteHere: func(ctx context.Context, id string, epoch uint64) error { return g.Demote(ctx, id, epoch) },
 	})
+	registry.SetAlive(leaders.HostAlive)
 	server, err := peer.Listen(o.PeerAddress, o.Registry)
 	if err != nil {
 		return err
@@ -234,7 +235,8 @@
 // in a large fleet.
 func (d *Daemon) relayCatalog(follower *catalog.Follower, registry *hosts.Registry, leaders *leadership.Runner) {
 	follower.SetRelaying(catalog.Relaying{
-		Known: registry.Known,
+		Known:    registry.Known,
+		Isolated: leaders.Isolated,
 		Enabled: func() bool {
 			known, _ := registry.Live()
 			return known > hosts.MaxSmallFleet
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -61,13 +61,15 @@
 	now   func() time.Time
 	// reconnected is called when the store answers again after a failed call.
 	reconnected func()
+	// alive reports whether a host was running recently, whatever the store says.
+	alive func(name string) bool
 
 	mu    sync.Mutex
 	id    platform.LeaseID
 	clock *lease.Clock
 	known map[string]hostState
-	// read says that the other hosts have been read.
-	read bool
+	// reads is the number of times that the other hosts have been read.
+	reads int
 }
 
 // hostState is what is known of a host.
@@ -82,7 +84,7 @@
 func New(self Host, store platform.Store, log *zap.Logger) *Registry {
 	return &Registry{
 		self: self, store: store, log: log, now: time.Now,
-		reconnected: func() {}, clock: lease.New(lease.DefaultMargin), known: map[string]hostState{self.Name: {Host: self}},
+		reconnected: func() {}, alive: func(string) bool { return false }, clock: lease.New(lease.DefaultMargin), known: map[string]hostState{self.Name: {Host: self}},
 	}
 }
 
@@ -90,6 +92,11 @@
 // failed call. It must be called before Run.
 func (r *Registry) OnReconnected(f func()) { r.reconnected = f }
 
+// SetAlive sets a function that reports whether other hosts have heard from a host
+// recently. A host whose entry in the store has expired, because the store is away for
+// it, stays in use while it is alive. It must be called before Run.
+func (r *Registry) SetAlive(f func(name string) bool) { r.alive = f }
+
 // Lease returns the host's lease and its remaining validity.
 func (r *Registry) Lease() (platform.LeaseID, time.Duration) {
 	r.mu.Lock()
@@ -116,7 +123,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.read = true
+	r.reads++
 	for name, h := range present {
 		r.known[name] = hostState{Host: h}
 	}
@@ -137,33 +144,38 @@
 	return r.store.List(ctx, Prefix)
 }
 
-// Known reports whether the other hosts have been read.
+// Known reports whether the other hosts are known. The first read does not suffice,
+// because the hosts of a fleet may start together.
 func (r *Registry) Known() bool {
+	const minReads = 2
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.read
+	return r.reads >= minReads
 }
 
-// Hosts returns the registered hosts.
+// Hosts returns the hosts that are registered or alive.
 func (r *Registry) Hosts() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make([]Host, 0, len(r.known))
 	for _, s := range r.known {
-		if s.goneSince.IsZero() {
+		if r.inUse(s) {
 			out = append(out, s.Host)
 		}
 	}
 	return out
 }
 
+// inUse reports whether a host is registered or alive.
+func (r *Registry) inUse(s hostState) bool { return s.goneSince.IsZero() || r.alive(s.Name) }
+
 // Live returns the number of registered hosts and of their failure domains.
 func (r *Registry) Live() (hosts, domains int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	in := map[string]bool{}
 	for _, s := range r.known {
-		if s.goneSince.IsZero() {
+		if r.inUse(s) {
 			hosts++
 			in[s.Domain] = true
 		}
@@ -171,15 +183,20 @@
 	return hosts, len(in)
 }
 
-// Counted returns the hosts that may be running, including those that disappeared less
-// than goneRetention ago.
+// Counted returns the hosts that may be running, including those that are neither
+// registered nor were alive for less than goneRetention.
 func (r *Registry) Counted() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	counted := make([]Host, 0, len(r.known))
 	for name, s := range r.known {
-		if !s.goneSince.IsZero() && now.Sub(s.goneSince) > goneRetention {
+		switch {
+		case s.goneSince.IsZero():
+		case r.alive(name):
+			s.goneSince = now
+			r.known[name] = s
+		case now.Sub(s.goneSince) > goneRetention:
 			delete(r.known, name)
 			continue
 		}
--- a/internal/leadership/runner.go
+++ b/internal/leadership/runner.go
@@ -26,6 +26,8 @@
 	callsPerTick = 2
 	// heartbeatTimeout bounds one call to a neighbor.
 	heartbeatTimeout = 300 * time.Millisecond
+	// isolationTime is how long no other host has answered if this host is isolated.
+	isolationTime = 2 * time.Second
 	// storeTimeout bounds a read of the closed terms.
 	storeTimeout = 800 * time.Millisecond
 	// fleetReadInterval is the mean time between two reads of the closed terms by any
@@ -74,6 +76,8 @@
 	lastRead time.Time
 	nextRead time.Time
 	reading  bool
+	// answeredAt is when another host last answered a heartbeat.
+	answeredAt time.Time
 	// valid is whether the lease was held at the last tick.
 	valid bool
 }
@@ -93,6 +97,16 @@
 // Closed returns the newest closed term of a service; 0 if none is closed.
 func (r *Runner) Closed(service string) uint64 { return r.core.Closed(service) }
 
+// Isolated reports whether no other host has answered a heartbeat lately.
+func (r *Runner) Isolated() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.now().Sub(r.answeredAt) >= isolationTime
+}
+
+// HostAlive reports whether a host was running recently.
+func (r *Runner) HostAlive(name string) bool { return r.core.Alive(name, r.now()) }
+
 // Alive returns the registered hosts that were running recently, this host included.
 func (r *Runner) Alive() []hosts.Host {
 	now := r.now()
@@ -209,6 +223,9 @@
 	if err != nil {
 		return
 	}
+	r.mu.Lock()
+	r.answeredAt = r.now()
+	r.mu.Unlock()
 	r.core.Merge(sent, r.now(), heartbeatFromProto(reply))
 	r.options.Hint(revisionsFromProto(reply.GetRevisions()))
 	r.options.Catalog.Confirm(callers, h, requested, reply.GetCatalog())
