Stop using connection owners that do not reach an instance

Change: a pool that does not reach an instance refuses work for it at once, with a growing backoff; hosts then use the next owner, or connect themselves, and count the instance as failed after three owners. A sampler tries up to four owners.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -81,6 +81,8 @@
 	if err == nil {
 		c.broken = broken
 		c.instance.recordAnswer(sent)
+	} else {
+		c.instance.recordSilence(sent)
 	}
 	if len(results) > 0 {
 		c.state = results[len(results)-1].State
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -155,6 +155,10 @@
 		p.mu.Unlock()
 		return nil, ErrClosed
 	}
+	if in.unreachable() {
+		p.mu.Unlock()
+		return nil, ErrUnreachable
+	}
 	in.limit = limit
 	if c := in.takeIdle(account, values); c != nil {
 		in.inUse++
@@ -239,6 +243,7 @@
 
 func (p *Pool) dial(ctx context.Context, server *catalog.Server, account string) (*Conn, error) {
 	p.dials.Inc(1)
+	started := p.now()
 	link, err := p.cfg.Dialer.Dial(ctx, server, account)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -253,6 +258,10 @@
 		} else {
 			p.admitWaiter(in)
 		}
+		// A dial that was given up early proves nothing.
+		if refusal == nil && (ctx.Err() == nil || p.now().Sub(started) >= minSilence) {
+			in.recordUnreached()
+		}
 		return nil, err
 	}
 	return &Conn{Link: link, Server: server, Account: account, instance: in, state: statement.Idle}, nil
--- a/internal/connpool/silence.go
+++ b/internal/connpool/silence.go
@@ -23,6 +23,7 @@
 	mu         sync.Mutex
 	lastAnswer time.Time
 	answerTime time.Duration
+	breaker    breaker
 }
 
 // recordAnswer records an answer to statements sent at the given time.
@@ -30,6 +31,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lastAnswer = time.Now()
+	a.breaker.succeeded()
 	a.answerTime += time.Duration(smoothing * float64(a.lastAnswer.Sub(sent)-a.answerTime))
 }
 
@@ -44,3 +46,26 @@
 	}
 	return time.Since(since) >= max(minSilence, silenceFactor*a.answerTime)
 }
+
+// recordSilence records that statements sent at the given time were not answered, if
+// nothing else has been answered since either.
+func (a *activity) recordSilence(sent time.Time) {
+	if a.silent(sent) {
+		a.recordUnreached()
+	}
+}
+
+// recordUnreached records that the instance was not reached.
+func (a *activity) recordUnreached() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.breaker.failed(time.Now())
+}
+
+// unreachable reports whether the instance must not be used now because it was not
+// reached.
+func (a *activity) unreachable() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.breaker.open(time.Now())
+}
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -37,9 +37,9 @@
 	// failingSince is the time of the first failure since the last answer, or zero.
 	failingSince time.Time
 	lastAnswer   time.Time
-	// unreachedOwner is the last connection owner of the instance that could not be
-	// reached since the instance last answered.
-	unreachedOwner string
+	// failedOwners are the connection owners of the instance that could not be reached,
+	// or could not reach it, since it last answered.
+	failedOwners map[string]bool
 	// notLeaderAt is when the instance last answered that it is not the leader, and
 	// notLeaderRevision is the revision of its registered role at that time.
 	notLeaderAt       time.Time
@@ -89,7 +89,7 @@
 	in.avoidUntil = time.Time{}
 	in.failingSince = time.Time{}
 	in.lastAnswer = now
-	in.unreachedOwner = ""
+	in.failedOwners = nil
 	if in.applied.Compare(p) < 0 {
 		in.applied = p
 	}
@@ -111,17 +111,24 @@
 	in.avoidUntil = now.Add(in.backoff)
 }
 
+// maxFailedOwners is the number of connection owners that must have failed for an
+// instance to count as failed.
+const maxFailedOwners = 3
+
 // recordOwnerFailure records that a connection owner of an instance could not be
-// reached. It counts as a failure of the instance only if a different owner could not
-// be reached either.
+// reached or could not reach it. It counts as a failure of the instance only once
+// maxFailedOwners owners have failed.
 func (h *health) recordOwnerFailure(server *catalog.Server, owner string, now time.Time) {
 	h.reachability.Failed(server.Domain)
 	h.mu.Lock()
 	in := h.get(server)
-	other := in.unreachedOwner != "" && in.unreachedOwner != owner
-	in.unreachedOwner = owner
+	if in.failedOwners == nil {
+		in.failedOwners = map[string]bool{}
+	}
+	in.failedOwners[owner] = true
+	failed := len(in.failedOwners) >= maxFailedOwners
 	h.mu.Unlock()
-	if other {
+	if failed {
 		h.recordFailure(server, now)
 	}
 }
--- a/internal/gateway/sample.go
+++ b/internal/gateway/sample.go
@@ -23,6 +23,8 @@
 	maxSharedAge = 200 * time.Millisecond
 	// sampleTimeout bounds the wait for a sample.
 	sampleTimeout = 120 * time.Millisecond
+	// maxSampleAttempts is the number of connection owners that are tried for a sample.
+	maxSampleAttempts = 4
 	// renewFraction is the fraction of a route's staleness limit at which the newest
 	// sample is renewed in the background, while reads still use it.
 	renewFraction = 0.75
@@ -60,6 +62,18 @@
 // takeSample samples the leader's position by an empty transaction, which occupies no
 // slot at the instance.
 func (g *Gateway) takeSample(ctx context.Context, service string) error {
+	var err error
+	for range maxSampleAttempts {
+		err = g.trySample(ctx, service)
+		var ownerErr *connpool.OwnerError
+		if !errors.As(err, &ownerErr) || ctx.Err() != nil {
+			break
+		}
+	}
+	return err
+}
+
+func (g *Gateway) trySample(ctx context.Context, service string) error {
 	server := g.chooseLeader(g.options.Catalog(), service, nil, g.now())
 	if server == nil {
 		return ErrNoLeader
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -79,6 +79,8 @@
 	servers []*peer.Server
 	dialErr error
 	linkErr error
+	// cutOff are the hosts that cannot reach the instance.
+	cutOff map[string]bool
 	// sampled is the hosts whose sampler returned a position.
 	sampled []string
 	// revisions is what each host knows, and hints the last hint that it received.
@@ -97,6 +99,9 @@
 	if d.fleet.dialErr != nil {
 		return nil, d.fleet.dialErr
 	}
+	if d.fleet.cutOff[d.host] {
+		return nil, errors.New("connection refused")
+	}
 	l := &fakeLink{host: d.host, mu: &d.fleet.mu, runs: &d.fleet.runs, err: d.fleet.linkErr}
 	d.fleet.links[d.host] = append(d.fleet.links[d.host], l)
 	return l, nil
@@ -180,6 +185,27 @@
 }
 
 var _ = Describe("Router", func() {
+	// Guards against work that keeps going to owners that are cut off from the instance:
+	// a primary that two thirds of the hosts did not reach was slow for all of them.
+	It("uses another owner, or no owner, if owners do not reach the instance", func() {
+		f := newFleet()
+		f.cutOff = map[string]bool{"h0": true, "h1": true}
+		var at string
+		for range 4 {
+			var err error
+			if at, err = f.do(3, "a"); err == nil {
+				break
+			}
+			var ownerErr *connpool.OwnerError
+			Expect(errors.As(err, &ownerErr) || errors.Is(err, connpool.ErrUnreachable) || outcome.RetrySafe(err)).To(BeTrue())
+		}
+		Expect(at).To(Equal("h3"))
+		started := time.Now()
+		_, err := f.do(3, "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(started)).To(BeNumerically("<", pairAvoidTime))
+	})
+
 	// Guards against every host keeping its own connections: an instance accepts 22
 	// connections, which 9 hosts with 8 accounts exceeded many times over.
 	It("runs an account's work from all hosts at one owner in the instance's failure domain", func() {
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -95,6 +95,10 @@
 		h.router.ownerDraining(h.owner)
 		return answer, h.ownerUnreached(fmt.Errorf("%w: %s", outcome.ErrNotRun, reply.GetError()))
 	}
+	if reply.GetUnreachable() {
+		h.router.avoidPair(h.owner, h.server)
+		return answer, h.ownerUnreached(fmt.Errorf("%w: %s", outcome.ErrNotRun, reply.GetError()))
+	}
 	h.router.options.Reachability.Reached(h.owner.Name)
 	h.router.recordLoad(h.server, answer.Load)
 	switch {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,9 @@
 	// drainingAvoidTime is how long an owner that reported that it is stopping is not
 	// used.
 	drainingAvoidTime = 10 * time.Second
+	// pairAvoidTime is how long an owner is not used for an instance that it cannot
+	// reach.
+	pairAvoidTime = 1500 * time.Millisecond
 	// loadReportTTL is how long an owner's report of its load is used.
 	loadReportTTL = 300 * time.Millisecond
 )
@@ -75,9 +79,15 @@
 
 	mu    sync.Mutex
 	avoid map[string]avoidance
-	loads map[string]load
+	// avoidedPairs says until when an owner is not used for an instance that it
+	// cannot reach.
+	avoidedPairs map[pair]time.Time
+	loads        map[string]load
 }
 
+// pair is an owner, by its host name, and an instance.
+type pair struct{ owner, instance string }
+
 // avoidance says that a host is not used as an owner: until a time, and then until it
 // answers a ping.
 type avoidance struct {
@@ -100,7 +110,7 @@
 // NewRouter returns a router; Register makes it an owner for other hosts.
 func NewRouter(o Options) *Router {
 	return &Router{
-		options: o, now: time.Now, avoid: map[string]avoidance{}, loads: map[string]load{},
+		options: o, now: time.Now, avoid: map[string]avoidance{}, avoidedPairs: map[pair]time.Time{}, loads: map[string]load{},
 		relayed: metrics.GetOrRegisterCounter("relay.leases_count", o.Registry),
 		direct:  metrics.GetOrRegisterCounter("relay.direct_count", o.Registry),
 	}
@@ -147,7 +157,7 @@
 // if none can be used now.
 func (r *Router) owner(server *catalog.Server, account string) (hosts.Host, bool) {
 	ranked, count := r.rankedOwners(server, maxConns(r.options.Catalog(), server))
-	pair := server.ID + "\x00" + account
+	key := server.ID + "\x00" + account
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
@@ -155,10 +165,10 @@
 	var bestScore uint64
 	for _, h := range ranked {
 		self := h.Name == r.options.Self
-		if !self && (h.Address == "" || r.avoids(h, now)) {
+		if !self && (h.Address == "" || r.avoids(h, now)) || now.Before(r.avoidedPairs[pair{h.Name, server.ID}]) {
 			continue
 		}
-		if s := hosts.Score(pair, h); best.Name == "" || s > bestScore {
+		if s := hosts.Score(key, h); best.Name == "" || s > bestScore {
 			best, bestScore = h, s
 		}
 		if count--; count == 0 {
@@ -214,7 +224,13 @@
 	if !ok {
 		r.direct.Inc(1)
 	}
-	return r.options.Pool.AcquireHandle(ctx, server, account, values, r.connLimit(r.options.Catalog(), server))
+	handle, err := r.options.Pool.AcquireHandle(ctx, server, account, values, r.connLimit(r.options.Catalog(), server))
+	if ok && errors.Is(err, connpool.ErrUnreachable) {
+		self := hosts.Host{Name: r.options.Self}
+		r.avoidPair(self, server)
+		return nil, &connpool.OwnerError{Owner: self.Name, Err: err}
+	}
+	return handle, err
 }
 
 // addLeases changes the number of leases that this host has at other owners.
@@ -267,6 +283,21 @@
 		zap.String(logging.FieldPeer, owner.Name), zap.Duration("backoff", a.backoff), zap.Error(err))
 }
 
+// avoidPair stops using an owner for an instance that it cannot reach.
+func (r *Router) avoidPair(owner hosts.Host, server *catalog.Server) {
+	r.mu.Lock()
+	now := r.now()
+	for p, until := range r.avoidedPairs {
+		if now.After(until) {
+			delete(r.avoidedPairs, p)
+		}
+	}
+	r.avoidedPairs[pair{owner.Name, server.ID}] = now.Add(pairAvoidTime)
+	r.mu.Unlock()
+	r.options.Log.Info("connection owner does not reach the instance", zap.String(logging.FieldDecision, "avoid_holder"),
+		zap.String(logging.FieldPeer, owner.Name), zap.String(logging.FieldInstance, server.ID), zap.Duration("backoff", pairAvoidTime))
+}
+
 // ownerDraining stops using an owner that reported that it is stopping.
 func (r *Router) ownerDraining(owner hosts.Host) {
 	r.mu.Lock()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -89,6 +89,7 @@
 	reply := toReply(answer)
 	reply.Error = err.Error()
 	reply.NotRun = outcome.RetrySafe(err)
+	reply.Unreachable = errors.Is(err, connpool.ErrUnreachable)
 	var refusal *connpool.Refusal
 	if errors.As(err, &refusal) {
 		reply.RefusalCode, reply.NotRun = string(refusal.Code), true
