--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -261,6 +261,7 @@
 		// A dial that was given up early proves nothing.
 		if refusal == nil && (ctx.Err() == nil || p.now().Sub(started) >= minSilence) {
 			in.recordUnreached()
+			err = fmt.Errorf("%w: %w", ErrUnreachable, err)
 		}
 		return nil, err
 	}
