quota: equal allocations last while their host is registered

Change: the renewal of a host's registration confirms its equal allocations, which are written every 32 s; others reclaim one 80 s after its host was last registered or alive. An expired allocation stays expired until it is written. While the hosts start, those that do not follow the store get the first configuration from those that do.

Measured: tests; the bound on writes of the large fleet is now half as high.

--- a/internal/catalog/peers.go
+++ b/internal/catalog/peers.go
@@ -162,10 +162,10 @@
 // the prefix.
 func (s *subscription) peersSuffice() bool {
 	f := s.follower
-	if f.relaying.Enabled == nil || !f.Snapshot().Complete {
+	if f.relaying.Enabled == nil {
 		return false
 	}
-	starting := f.now().Sub(f.started) < startupWait
+	starting := f.Snapshot().Complete && f.now().Sub(f.started) < startupWait
 	if !f.relaying.Known() {
 		return starting
 	}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -146,6 +146,7 @@
 	limiter := quota.NewLimiter(quota.Options{
 		Host: o.Host, Store: o.Store, HostCount: registry.Count, Log: d.log,
 		Slack: func() quota.Slack { return d.Settings().Slack }, Registry: o.Registry,
+		Registered: registry.InUse, ConfirmedAt: registry.RenewedAt,
 		Hosts: registry.Hosts, Lender: quota.PeerLender{Peers: peers},
 		Accounts: func() map[string]*catalog.Account { return accounts(follower.Snapshot()) },
 	})
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -68,6 +68,8 @@
 	id    platform.LeaseID
 	clock *lease.Clock
 	known map[string]hostState
+	// renewedAt is when the last successful renewal of the registration was sent.
+	renewedAt time.Time
 	// reads is the number of times that the other hosts have been read.
 	reads int
 }
@@ -169,6 +171,22 @@
 // inUse reports whether a host is registered or alive.
 func (r *Registry) inUse(s hostState) bool { return s.goneSince.IsZero() || r.alive(s.Name) }
 
+// InUse reports whether a host is registered or alive.
+func (r *Registry) InUse(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.known[name]
+	return ok && r.inUse(s)
+}
+
+// RenewedAt returns when the last successful renewal of this host's registration was
+// sent; zero if there was none.
+func (r *Registry) RenewedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.renewedAt
+}
+
 // Live returns the number of registered hosts and of their failure domains.
 func (r *Registry) Live() (hosts, domains int) {
 	r.mu.Lock()
@@ -277,6 +295,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.clock.Renew(sent, ttl)
+	r.renewedAt = sent
 	return nil
 }
 
@@ -301,6 +320,7 @@
 	r.id = id
 	r.clock = lease.New(lease.DefaultMargin)
 	r.clock.Renew(sent, leaseTTL)
+	r.renewedAt = sent
 	r.log.Info("host registered", zap.Int64("lease", int64(id)))
 	return nil
 }
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -46,19 +46,27 @@
 	exhaustedRetryAfter = 5 * time.Second
 	// renewAfter is the age at which an allocation is renewed even if unchanged.
 	renewAfter = 8 * time.Second
-	// equalTimeFactor multiplies allocationTTL, reclaimAfter and renewAfter for
-	// equal allocations. These do not follow the demand, so less is lost while one
-	// remains with a host that has failed, and renewals are most of the writes.
-	equalTimeFactor = 2
+	// The limits for equal allocations are longer: these do not follow the demand, so
+	// less is lost while one remains with a host that has failed. While its host is
+	// registered, an equal allocation counts as renewed, and renewals are rare.
+	equalAllocationTTL = 40 * time.Second
+	equalReclaimAfter  = 80 * time.Second
+	equalRenewAfter    = 32 * time.Second
+	// equalRetryAfter takes the place of exhaustedRetryAfter: the part that is missing
+	// belongs to a host that is gone and is reclaimed late.
+	equalRetryAfter = 20 * time.Second
 )
 
-// scaledTime returns a time limit for an allocation, given the limit for one that
-// follows the demand.
-func scaledTime(d time.Duration, equal bool) time.Duration {
+// timeLimits are the time limits of one kind of allocation.
+type timeLimits struct{ ttl, reclaim, renew, retry time.Duration }
+
+// limitsOf returns the time limits of equal allocations, or of those that follow the
+// demand.
+func limitsOf(equal bool) timeLimits {
 	if equal {
-		return equalTimeFactor * d
+		return timeLimits{equalAllocationTTL, equalReclaimAfter, equalRenewAfter, equalRetryAfter}
 	}
-	return d
+	return timeLimits{allocationTTL, reclaimAfter, renewAfter, exhaustedRetryAfter}
 }
 
 // limit is an account's limit over the whole fleet: rate in operations per second,
@@ -86,6 +94,9 @@
 	initialTarget float64
 	// renewedAt is when the last successful write of the fraction was sent.
 	renewedAt time.Time
+	// confirmedAt is when the store last confirmed that the allocation is still that of
+	// this host, by a write or by the renewal of the host's registration.
+	confirmedAt time.Time
 
 	tokens     float64
 	refilledAt time.Time
@@ -115,12 +126,30 @@
 // the floor once the allocation has expired.
 func (a *account) usableFraction(now time.Time) float64 {
 	floor := floorFraction / float64(max(1, a.hosts))
-	if now.Sub(a.renewedAt) >= scaledTime(allocationTTL, a.recordedEqual) {
+	if a.expired(now) {
 		return floor
 	}
 	return floor + a.fraction
 }
 
+// expired reports whether the allocation must not be used any more, because other
+// hosts may reclaim it. Only a write ends that.
+func (a *account) expired(now time.Time) bool {
+	confirmed := a.renewedAt
+	if a.recordedEqual && a.confirmedAt.After(confirmed) {
+		confirmed = a.confirmedAt
+	}
+	return now.Sub(confirmed) >= limitsOf(a.recordedEqual).ttl
+}
+
+// confirm records that the host was registered at the given time. An allocation that
+// has expired meanwhile stays expired.
+func (a *account) confirm(at, now time.Time) {
+	if !a.expired(now) && at.After(a.confirmedAt) {
+		a.confirmedAt = at
+	}
+}
+
 // refill adds the tokens earned since the last call, up to the bucket's capacity.
 func (a *account) refill(now time.Time) {
 	usable := a.usableFraction(now)
@@ -203,7 +232,7 @@
 // applyWrite applies a successful write of the fraction that was sent at a time.
 func (a *account) applyWrite(fraction float64, equal bool, sent time.Time) {
 	a.exhausted = fraction < a.neededFraction(minHeadroom, sent)-fractionEpsilon
-	a.fraction, a.renewedAt, a.recordedEqual = fraction, sent, equal
+	a.fraction, a.renewedAt, a.confirmedAt, a.recordedEqual = fraction, sent, sent, equal
 	a.refusedSinceWrite, a.initialTarget = false, 0
 }
 
@@ -225,13 +254,13 @@
 // needsWrite reports whether the allocation should be written, because it is due
 // for renewal or the target has changed.
 func (a *account) needsWrite(others float64, now time.Time) bool {
-	if now.Sub(a.renewedAt) >= scaledTime(renewAfter, a.recordedEqual) && (a.fraction > 0 || a.initialTarget > 0) {
+	if now.Sub(a.renewedAt) >= limitsOf(a.recordedEqual).renew && (a.fraction > 0 || a.initialTarget > 0) {
 		return true
 	}
 	if a.exhausted && a.neededFraction(0, now) > a.fraction+fractionEpsilon {
 		// Other hosts may have released a part of the limit since. Until then
 		// their tokens can be borrowed.
-		return now.Sub(a.renewedAt) >= exhaustedRetryAfter
+		return now.Sub(a.renewedAt) >= limitsOf(a.equal).retry
 	}
 	target := a.targetFraction(others, now)
 	return math.Abs(target-a.fraction) > changeThreshold*max(a.fraction, floorFraction/float64(max(1, a.hosts)))
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -106,10 +106,11 @@
 // renewed.
 type renewalTracker map[string]observedSequence
 
-// prune removes the allocations of other hosts that were not renewed for reclaimAfter.
-// Their hosts stopped using them before that, by their own clocks, so clocks of
-// different hosts are never compared.
-func (t renewalTracker) prune(l ledger, self string, now time.Time) {
+// prune removes the allocations of other hosts that were not renewed for the time after
+// which they are reclaimed, except equal ones of registered hosts. Their hosts stopped
+// using them before that, by their own clocks, so clocks of different hosts are never
+// compared.
+func (t renewalTracker) prune(l ledger, self string, now time.Time, registered func(string) bool) {
 	for account, allocations := range l {
 		for host, a := range allocations {
 			if host == self {
@@ -117,11 +118,11 @@
 			}
 			key := account + " " + host
 			seen, ok := t[key]
-			if !ok || seen.sequence != a.Sequence {
+			if !ok || seen.sequence != a.Sequence || a.Equal && registered(host) {
 				t[key] = observedSequence{a.Sequence, now}
 				continue
 			}
-			if now.Sub(seen.at) >= scaledTime(reclaimAfter, a.Equal) {
+			if now.Sub(seen.at) >= limitsOf(a.Equal).reclaim {
 				l.set(account, host, allocation{})
 				delete(t, key)
 			}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -57,6 +57,11 @@
 	Store platform.Store
 	// HostCount returns the number of hosts that may be running.
 	HostCount func() int
+	// Registered reports whether a host is registered or alive, and ConfirmedAt is when
+	// the store last confirmed the registration of this host. If nil, no host counts as
+	// registered.
+	Registered  func(host string) bool
+	ConfirmedAt func() time.Time
 	// Accounts returns the accounts of the current configuration.
 	Accounts func() map[string]*catalog.Account
 	Slack    func() Slack
@@ -99,6 +104,12 @@
 
 // NewLimiter returns a limiter without allocations; Run restores and renews them.
 func NewLimiter(o Options) *Limiter {
+	if o.Registered == nil {
+		o.Registered = func(string) bool { return false }
+	}
+	if o.ConfirmedAt == nil {
+		o.ConfirmedAt = func() time.Time { return time.Time{} }
+	}
 	l := &Limiter{options: o, now: time.Now, accounts: map[string]*account{}, renewals: renewalTracker{}, restored: make(chan struct{})}
 	l.started = l.now()
 	l.startupPhase = time.Duration(xxhash.Sum64String(o.Host) % uint64(renewCheckInterval))
--- a/internal/quota/persist.go
+++ b/internal/quota/persist.go
@@ -46,7 +46,7 @@
 				// Other hosts may be about to reclaim the allocation, so it is marked as due
 				// for renewal.
 				a.fraction, a.recordedEqual = own.Fraction, own.Equal
-				a.renewedAt = asked.Add(-scaledTime(renewAfter, own.Equal))
+				a.renewedAt = asked.Add(-limitsOf(own.Equal).renew)
 				a.hosts = l.allocationHostCount()
 				a.refilledAt = asked.Add(-minRestartTime)
 				l.sequence = max(l.sequence, own.Sequence)
@@ -102,10 +102,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.addAccounts(now)
+	confirmed := l.options.ConfirmedAt()
 	var shards shardSet
 	for name, a := range l.accounts {
 		shard := shardOf(name)
 		a.equal = l.allocatesEqually(name)
+		a.confirm(confirmed, now)
 		if l.mustWrite(name, a, renew, now) {
 			shards |= 1 << shard
 		}
@@ -211,7 +213,7 @@
 		}
 		if next[shard] == nil {
 			next[shard] = l.ledgers[shard].clone()
-			l.renewals.prune(next[shard], l.options.Host, now)
+			l.renewals.prune(next[shard], l.options.Host, now, l.options.Registered)
 		}
 		target := 0.0
 		if l.mayAllocate(name) {
