--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -42,8 +42,11 @@
 	// allocation above which the target is written before the next renewal.
 	changeThreshold = 0.35
 	// exhaustedRetryAfter is the age at which an allocation that is too small is
-	// written again after the last write found the whole limit allocated.
+	// written again after the last write found the whole limit allocated. It doubles
+	// with each further such write up to maxExhaustedRetry, because the missing part
+	// may belong to a host that is gone and be reclaimed late.
 	exhaustedRetryAfter = 5 * time.Second
+	maxExhaustedRetry   = 20 * time.Second
 	// renewAfter is the age at which an allocation is renewed even if unchanged.
 	renewAfter = 8 * time.Second
 	// The limits for equal allocations are longer: these do not follow the demand, so
@@ -52,21 +55,18 @@
 	equalAllocationTTL = 40 * time.Second
 	equalReclaimAfter  = 80 * time.Second
 	equalRenewAfter    = 32 * time.Second
-	// equalRetryAfter takes the place of exhaustedRetryAfter: the part that is missing
-	// belongs to a host that is gone and is reclaimed late.
-	equalRetryAfter = 20 * time.Second
 )
 
 // timeLimits are the time limits of one kind of allocation.
-type timeLimits struct{ ttl, reclaim, renew, retry time.Duration }
+type timeLimits struct{ ttl, reclaim, renew time.Duration }
 
 // limitsOf returns the time limits of equal allocations, or of those that follow the
 // demand.
 func limitsOf(equal bool) timeLimits {
 	if equal {
-		return timeLimits{equalAllocationTTL, equalReclaimAfter, equalRenewAfter, equalRetryAfter}
+		return timeLimits{equalAllocationTTL, equalReclaimAfter, equalRenewAfter}
 	}
-	return timeLimits{allocationTTL, reclaimAfter, renewAfter, exhaustedRetryAfter}
+	return timeLimits{allocationTTL, reclaimAfter, renewAfter}
 }
 
 // limit is an account's limit over the whole fleet: rate in operations per second,
@@ -107,6 +107,8 @@
 	// and exhausted that the last write could not allocate what was needed.
 	refusedSinceWrite bool
 	exhausted         bool
+	// retryAfter is the age at which an exhausted allocation is written again.
+	retryAfter time.Duration
 
 	// allocations holds the allocations by host in the document last seen.
 	// emptyUntil is, by host, the time before which that host is not asked for a
@@ -232,6 +234,11 @@
 // applyWrite applies a successful write of the fraction that was sent at a time.
 func (a *account) applyWrite(fraction float64, equal bool, sent time.Time) {
 	a.exhausted = fraction < a.neededFraction(minHeadroom, sent)-fractionEpsilon
+	if a.exhausted {
+		a.retryAfter = min(maxExhaustedRetry, max(exhaustedRetryAfter, 2*a.retryAfter))
+	} else {
+		a.retryAfter = 0
+	}
 	a.fraction, a.renewedAt, a.confirmedAt, a.recordedEqual = fraction, sent, sent, equal
 	a.refusedSinceWrite, a.initialTarget = false, 0
 }
@@ -260,7 +267,7 @@
 	if a.exhausted && a.neededFraction(0, now) > a.fraction+fractionEpsilon {
 		// Other hosts may have released a part of the limit since. Until then
 		// their tokens can be borrowed.
-		return now.Sub(a.renewedAt) >= limitsOf(a.equal).retry
+		return now.Sub(a.renewedAt) >= a.retryAfter
 	}
 	target := a.targetFraction(others, now)
 	return math.Abs(target-a.fraction) > changeThreshold*max(a.fraction, floorFraction/float64(max(1, a.hosts)))
