--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -42,9 +42,9 @@
 	// allocation above which the target is written before the next renewal.
 	changeThreshold = 0.35
 	// exhaustedRetryAfter is the age at which an allocation that is too small is
-	// written again after the last write found the whole limit allocated. It doubles
-	// with each further such write up to maxExhaustedRetry, because the missing part
-	// may belong to a host that is gone and be reclaimed late.
+	// written again after the last write found the whole limit allocated. For an
+	// equal allocation it doubles with each further such write up to
+	// maxExhaustedRetry, because the missing part is reclaimed late.
 	exhaustedRetryAfter = 5 * time.Second
 	maxExhaustedRetry   = 20 * time.Second
 	// renewAfter is the age at which an allocation is renewed even if unchanged.
@@ -234,10 +234,13 @@
 // applyWrite applies a successful write of the fraction that was sent at a time.
 func (a *account) applyWrite(fraction float64, equal bool, sent time.Time) {
 	a.exhausted = fraction < a.neededFraction(minHeadroom, sent)-fractionEpsilon
-	if a.exhausted {
-		a.retryAfter = min(maxExhaustedRetry, max(exhaustedRetryAfter, 2*a.retryAfter))
-	} else {
+	switch {
+	case !a.exhausted:
 		a.retryAfter = 0
+	case equal:
+		a.retryAfter = min(maxExhaustedRetry, max(exhaustedRetryAfter, 2*a.retryAfter))
+	default:
+		a.retryAfter = exhaustedRetryAfter
 	}
 	a.fraction, a.renewedAt, a.confirmedAt, a.recordedEqual = fraction, sent, sent, equal
 	a.refusedSinceWrite, a.initialTarget = false, 0
