Answer what was read before a planned stop closes a connection

A stopping host also ended while other hosts still worked on its connections.

The drain waits for the leases of other hosts.

--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -21,8 +21,9 @@
 	gateway  *Gateway
 	database string
 	key      string
-	// closeConn closes the caller's connection.
-	closeConn func()
+	// closeWhenIdle closes the caller's connection once no request is being read or
+	// answered on it.
+	closeWhenIdle func()
 
 	mu       sync.Mutex
 	closed   bool
@@ -39,11 +40,12 @@
 }
 
 // Open starts a session on a database for the account of an API key. If the session
-// is refused it returns nil and the reason. closeConn must close the caller's
-// connection and may be called from any goroutine.
-func (g *Gateway) Open(database, key string, closeConn func()) (*Session, statement.Result) {
+// is refused it returns nil and the reason. closeWhenIdle must close the caller's
+// connection once no request is being read or answered on it, and may be called from any
+// goroutine. A request that is handled after that is refused.
+func (g *Gateway) Open(database, key string, closeWhenIdle func()) (*Session, statement.Result) {
 	s := &Session{
-		gateway: g, database: database, key: key, closeConn: closeConn,
+		gateway: g, database: database, key: key, closeWhenIdle: closeWhenIdle,
 		prepared: map[string]connpool.Prepared{},
 	}
 	if _, _, result := s.authorize(g.options.Catalog()); !result.Succeeded() {
@@ -111,7 +113,7 @@
 	defer s.mu.Unlock()
 	if s.tx == nil && !s.failed && !s.closed {
 		s.closed = true
-		s.closeConn()
+		s.closeWhenIdle()
 	}
 }
 
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -227,7 +227,7 @@
 	}
 	<-ctx.Done()
 	router.Drain()
-	d.drain(g)
+	d.drain(g, router.Serving)
 	<-registryDone
 	return nil
 }
@@ -280,9 +280,9 @@
 }
 
 // drain shuts the gateway down: it reports not ready, waits until the load balancer sends
-// no more callers, then closes idle sessions and waits for open transactions, within
-// the grace time.
-func (d *Daemon) drain(g *gateway.Gateway) {
+// no more callers, then closes idle sessions and waits for open transactions and for the
+// work of other hosts on this host's connections, within the grace time.
+func (d *Daemon) drain(g *gateway.Gateway, serving func() int) {
 	started := time.Now()
 	grace := d.Settings().Grace
 	d.ready.Store(false)
@@ -291,10 +291,10 @@
 	deadline := started.Add(grace - graceReserve)
 	for time.Now().Before(deadline) {
 		g.Drain()
-		if g.Sessions() == 0 {
+		if g.Sessions() == 0 && serving() == 0 {
 			break
 		}
 		time.Sleep(drainPollInterval)
 	}
-	d.log.Info("stopped", zap.Int("sessions_left", g.Sessions()), zap.Duration("took", time.Since(started)))
+	d.log.Info("stopped", zap.Int("sessions_left", g.Sessions()), zap.Int("leases_left", serving()), zap.Duration("took", time.Since(started)))
 }
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -74,6 +74,8 @@
 	now      func() time.Time
 	sampler  Sampler
 	draining atomic.Bool
+	// serving is the number of leases of other hosts.
+	serving atomic.Int64
 	relayed  metrics.Counter
 	direct   metrics.Counter
 
@@ -127,6 +129,9 @@
 // owner.
 func (r *Router) Drain() { r.draining.Store(true) }
 
+// Serving returns the number of leases that other hosts have of this host's connections.
+func (r *Router) Serving() int { return int(r.serving.Load()) }
+
 const (
 	// connsPerOwner is the number of connections that an owner should have, so that it
 	// rarely has to close a connection of one account to open one for another.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -45,6 +45,8 @@
 	if r.draining.Load() {
 		return stream.Send(&peerv1.LeaseReply{Leaving: true, NotRun: true, Error: "host is stopping"})
 	}
+	r.serving.Add(1)
+	defer r.serving.Add(-1)
 	handle, err := r.openLease(stream.Context(), first)
 	if err != nil {
 		reply := failureReply(&connpool.Answer{}, err)
