--- a/internal/leadership/core.go
+++ b/internal/leadership/core.go
@@ -15,6 +15,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,10 @@
 	// Ages tells for each host, by the hash of its name, how long before this
 	// heartbeat it was known to be running.
 	Ages map[uint32]time.Duration
+	// Members lists the hashes of all hosts that the sender counts, in the order of
+	// their names, and MembersHash identifies that list.
+	Members     []uint32
+	MembersHash uint64
 	// Closed holds the newest closed term of each service that has one.
 	Closed map[string]uint64
 	// StoreAge is how long before this heartbeat a host read the closed terms from
@@ -64,6 +69,10 @@
 
 	mu      sync.Mutex
 	members []string
+	// order holds the hashes of the members' names in the order of the names, and
+	// membersHash is a hash of all names.
+	order       []uint32
+	membersHash uint64
 	// names maps the hashes of the members' names to the names.
 	names  map[uint32]string
 	closed map[string]uint64
@@ -92,15 +101,33 @@
 
 func hash(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
-// SetMembers sets the names of all hosts that may be running, this host included.
+// SetMembers sets the names of all hosts that may be running, this host included, in
+// ascending order.
 func (c *Core) SetMembers(members []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if slices.Equal(members, c.members) {
+		return
+	}
 	c.members = members
 	c.names = make(map[uint32]string, len(members))
+	c.order = make([]uint32, 0, len(members))
+	all := xxhash.New()
 	for _, name := range members {
 		c.names[hash(name)] = name
+		c.order = append(c.order, hash(name))
+		_, _ = all.WriteString(name + "\x00")
 	}
+	c.membersHash = all.Sum64()
+}
+
+// Members returns the hashes of the names of the hosts that this host counts, in the
+// order of the names, and a hash that identifies the list. The list must not be
+// modified.
+func (c *Core) Members() (order []uint32, hash uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.order, c.membersHash
 }
 
 // Tick confirms this host by itself and recomputes the end of the lease.
@@ -225,6 +252,7 @@
 	defer c.mu.Unlock()
 	h := Heartbeat{
 		Ages: map[uint32]time.Duration{}, Closed: maps.Clone(c.closed), Leaders: maps.Clone(c.leaders), StoreAge: -1,
+		Members: c.order, MembersHash: c.membersHash,
 		Confirms: !c.ownRead.IsZero(),
 	}
 	if !c.storeRead.IsZero() {
--- a/internal/leadership/runner.go
+++ b/internal/leadership/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -166,6 +167,7 @@
 	for _, h := range all {
 		out = append(out, h.Name)
 	}
+	slices.Sort(out)
 	return out
 }
 
@@ -215,8 +217,10 @@
 	callers := ctx
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
+	members, membersHash := r.core.Members()
 	request := &peerv1.HeartbeatRequest{
 		Closed: closedToProto(r.core.ClosedTerms()), Revisions: revisionsToProto(r.options.Revisions()),
+		MembersHash: membersHash,
 	}
 	sent, requested := r.now(), time.Now()
 	reply, err := peerv1.NewLeadershipClient(conn).Heartbeat(ctx, request)
@@ -226,7 +230,7 @@
 	r.mu.Lock()
 	r.answeredAt = r.now()
 	r.mu.Unlock()
-	r.core.Merge(sent, r.now(), heartbeatFromProto(reply))
+	r.core.Merge(sent, r.now(), heartbeatFromProto(reply, members))
 	r.options.Hint(revisionsFromProto(reply.GetRevisions()))
 	r.options.Catalog.Confirm(callers, h, requested, reply.GetCatalog())
 }
--- a/internal/leadership/service.go
+++ b/internal/leadership/service.go
@@ -28,7 +28,7 @@
 	r := s.runner
 	r.core.MergeClosed(closedFromProto(request.GetClosed()))
 	r.options.Hint(revisionsFromProto(request.GetRevisions()))
-	reply := heartbeatToProto(r.core.Heartbeat(r.now()), r.options.Revisions())
+	reply := heartbeatToProto(r.core.Heartbeat(r.now()), request.GetMembersHash(), r.options.Revisions())
 	reply.Catalog = r.options.Catalog.Confirmations()
 	return reply, nil
 }
@@ -89,18 +89,30 @@
 
 func ageFromProto(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
 
-func heartbeatToProto(h Heartbeat, revisions catalog.Revisions) *peerv1.HeartbeatReply {
+const (
+	// ageUnit is the unit of the ages of a compact heartbeat, and unknownUnits stands
+	// for an age that is not known.
+	ageUnit      = 10 * time.Millisecond
+	unknownUnits = 255
+)
+
+// heartbeatToProto encodes a heartbeat for a host that counts the hosts with the given
+// hash. If these are the same as the sender's, the ages need no names.
+func heartbeatToProto(h Heartbeat, membersHash uint64, revisions catalog.Revisions) *peerv1.HeartbeatReply {
 	reply := &peerv1.HeartbeatReply{
-		Hosts: make([]uint32, 0, len(h.Ages)), AgesMs: make([]uint32, 0, len(h.Ages)),
 		Closed: closedToProto(h.Closed), StoreAgeMs: unknownAge, Confirms: h.Confirms,
 		Revisions: revisionsToProto(revisions),
 	}
 	for name, leader := range h.Leaders {
 		reply.Leaders = append(reply.Leaders, &peerv1.Leader{Service: name, Epoch: leader.Epoch, ServerId: leader.Instance})
 	}
-	for id, age := range h.Ages {
-		reply.Hosts = append(reply.Hosts, id)
-		reply.AgesMs = append(reply.AgesMs, ageToProto(age))
+	if membersHash == h.MembersHash {
+		reply.Ages = compactAges(h)
+	} else {
+		for id, age := range h.Ages {
+			reply.Hosts = append(reply.Hosts, id)
+			reply.AgesMs = append(reply.AgesMs, ageToProto(age))
+		}
 	}
 	if h.StoreAge >= 0 && h.StoreAge < maxStoreSilence {
 		reply.StoreAgeMs = ageToProto(h.StoreAge)
@@ -108,7 +120,21 @@
 	return reply
 }
 
-func heartbeatFromProto(reply *peerv1.HeartbeatReply) Heartbeat {
+// compactAges returns the ages of all members in the order of their names.
+func compactAges(h Heartbeat) []byte {
+	out := make([]byte, len(h.Members))
+	for i, id := range h.Members {
+		out[i] = unknownUnits
+		if age, ok := h.Ages[id]; ok {
+			out[i] = byte(min(unknownUnits, (age+ageUnit-1)/ageUnit))
+		}
+	}
+	return out
+}
+
+// heartbeatFromProto decodes a heartbeat. members are the hosts that this host counted
+// when it sent the request.
+func heartbeatFromProto(reply *peerv1.HeartbeatReply, members []uint32) Heartbeat {
 	h := Heartbeat{
 		Ages: make(map[uint32]time.Duration, len(reply.GetHosts())), Closed: closedFromProto(reply.GetClosed()),
 		Leaders: make(map[string]Leader, len(reply.GetLeaders())), StoreAge: -1, Confirms: reply.GetConfirms(),
@@ -122,6 +148,13 @@
 			h.Ages[id] = ageFromProto(ages[i])
 		}
 	}
+	if compact := reply.GetAges(); len(compact) == len(members) {
+		for i, units := range compact {
+			if units != unknownUnits {
+				h.Ages[members[i]] = time.Duration(units) * ageUnit
+			}
+		}
+	}
 	if reply.GetStoreAgeMs() != unknownAge {
 		h.StoreAge = ageFromProto(reply.GetStoreAgeMs())
 	}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -76,8 +76,8 @@
 	draining atomic.Bool
 	// serving is the number of leases of other hosts.
 	serving atomic.Int64
-	relayed  metrics.Counter
-	direct   metrics.Counter
+	relayed metrics.Counter
+	direct  metrics.Counter
 
 	mu    sync.Mutex
 	avoid map[string]avoidance
