relay: do not close the connection to an owner that was slow for a moment

Change: the connection is closed only if the owner still answers no ping after the backoff; a ping may take 120 ms.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -327,6 +327,28 @@
 		Expect(f.routers[2].avoid).To(BeEmpty())
 	})
 
+	// Guards against an owner that was slow for a moment and loses the work of all other
+	// sessions with it: the connection to it was closed, and writes were left in doubt.
+	It("does not end other work at an owner that is given up", func() {
+		f := newFleet()
+		at, err := f.do(2, "a")
+		Expect(err).NotTo(HaveOccurred())
+		owner := f.hosts[map[string]int{"h0": 0, "h1": 1}[at]]
+		other := make(chan error, 1)
+		go func() {
+			h, err := f.routers[2].Acquire(context.Background(), server, "a", nil)
+			if err == nil {
+				defer h.Release()
+				st := statement.Statement{Kind: statement.Write, Text: slowText}
+				_, err = h.Do(time.Now().Add(5*time.Second), connpool.Work{Statements: []statement.Statement{st}})
+			}
+			other <- err
+		}()
+		Eventually(f.connsInUse).Should(Equal(1))
+		f.routers[2].ownerFailed(owner, errors.New("no answer to a ping"))
+		Eventually(other, 3*time.Second).Should(Receive(BeNil()))
+	})
+
 	// Guards against every host asking the leader itself for its position.
 	It("asks one host in the primary's failure domain for its position", func() {
 		f := newFleet()
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -145,7 +145,7 @@
 	// stallTime is how long an owner may be silent before it is pinged, and pingTimeout
 	// bounds the wait for the reply to a ping.
 	stallTime   = 150 * time.Millisecond
-	pingTimeout = 80 * time.Millisecond
+	pingTimeout = 120 * time.Millisecond
 	// maxMissedPings is the number of consecutive pings without a reply after which the
 	// work is abandoned. An owner that is only slow answers one of them.
 	maxMissedPings = 2
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -199,6 +199,12 @@
 // probe pings an avoided host and uses it again if it answers.
 func (r *Router) probe(h hosts.Host) {
 	err := r.Ping(context.Background(), h)
+	if err != nil {
+		// The connection may be broken without an error while a new one would work. It
+		// is not closed before, because the owner may only be slow, and other work is
+		// under way on the same connection.
+		r.options.Peers.CloseConn(h.Address)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a := r.avoid[h.Name]
@@ -282,8 +288,6 @@
 	if avoided {
 		return
 	}
-	// The connection may be broken without an error while a new one would work.
-	r.options.Peers.CloseConn(owner.Address)
 	r.options.Log.Info("connection owner not reached", zap.String(logging.FieldDecision, "avoid_holder"),
 		zap.String(logging.FieldPeer, owner.Name), zap.Duration("backoff", a.backoff), zap.Error(err))
 }
