--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -333,6 +333,7 @@
 		f := newFleet()
 		at, err := f.do(2, "a")
 		Expect(err).NotTo(HaveOccurred())
+		Eventually(f.connsInUse).Should(BeZero())
 		owner := f.hosts[map[string]int{"h0": 0, "h1": 1}[at]]
 		other := make(chan error, 1)
 		go func() {
