--- a/internal/promotion/duty.go
+++ b/internal/promotion/duty.go
@@ -72,7 +72,7 @@
 	if !r.options.Fenced() {
 		if err := r.adoptOrder(ctx, service, state); err != nil {
 			r.options.Log.Warn("could not learn of an earlier order", zap.String("service", service), zap.Error(err))
-			state.pendingTarget, state.pendingUntil = unknownTarget, r.now().Add(lateOrderTime)
+			state.expectOrder(unknownTarget, 0, r.now())
 		}
 	}
 	state.token, state.lease = revision, id
--- a/internal/promotion/handover.go
+++ b/internal/promotion/handover.go
@@ -146,6 +146,11 @@
 	return nil
 }
 
+// expectOrder records that an order may still be carried out.
+func (s *serviceState) expectOrder(target string, token int64, now time.Time) {
+	s.pendingTarget, s.pendingToken, s.pendingUntil = target, token, now.Add(lateOrderTime)
+}
+
 // adoptOrder learns from the store whether an earlier duty holder has ordered a
 // promotion that may still be carried out.
 func (r *Runner) adoptOrder(ctx context.Context, service string, state *serviceState) error {
@@ -164,6 +169,10 @@
 	if record.Answered || record.Target == "" {
 		return nil
 	}
-	state.pendingTarget, state.pendingUntil = record.Target, r.now().Add(lateOrderTime)
+	if record.Token == state.pendingToken {
+		// It is this host's own order.
+		return nil
+	}
+	state.expectOrder(record.Target, record.Token, r.now())
 	return nil
 }
--- a/internal/promotion/order.go
+++ b/internal/promotion/order.go
@@ -87,7 +87,7 @@
 		return
 	}
 	if orderErr != nil && !errors.Is(orderErr, ErrSuperseded) {
-		state.pendingTarget, state.pendingUntil = plan.target.Server.ID, r.now().Add(lateOrderTime)
+		state.expectOrder(plan.target.Server.ID, state.token, r.now())
 		return
 	}
 	record := leadership.Record{ClosedEpoch: plan.epoch, Target: plan.target.Server.ID, Token: state.token, Answered: true}
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -127,9 +127,10 @@
 	// orderedInstance is the instance whose promotion was ordered with the token.
 	orderedInstance string
 	retryAt         time.Time
-	// pendingTarget is the instance of an order, by this host or an earlier duty
-	// holder, that may be carried out until pendingUntil.
+	// pendingTarget is the instance of an order, with the token pendingToken, by this
+	// host or an earlier duty holder, that may be carried out until pendingUntil.
 	pendingTarget string
+	pendingToken  int64
 	pendingUntil  time.Time
 	// closedEpoch is the newest term of which this host knows that no host uses its
 	// leader.
