promotion: the hosts of a large fleet act in turn

Change: of the hosts that are alive the first in an order of the service acts at once, two more 400 ms apart, the others after 2.5 s.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -191,9 +191,9 @@
 		Host: o.Host, Domain: o.Domain, Store: o.Store, Catalog: follower.Snapshot,
 		Lease: registry.Lease, Hosts: registry.Live, Promoter: o.Promoter, Inspector: g.Inspector(),
 		Failing: g.Failing, Terms: leaders, LeaderEpoch: g.LeaderEpoch, FindLeader: g.FindLeader,
-		Coordinates: func(service string) bool { return coordinates(o.Host, service, registry.Hosts()) },
-		Fenced:      func() bool { return d.Settings().Fenced },
-		Log:         d.log, Registry: o.Registry,
+		Rank:   func(service string) int { return rank(o.Host, service, registry, leaders.Alive) },
+		Fenced: func() bool { return d.Settings().Fenced },
+		Log:    d.log, Registry: o.Registry,
 	})
 
 	readiness, err := o.ServeReadiness(func() bool { return d.ready.Load() && !d.isolated.Load() })
@@ -249,19 +249,15 @@
 	})
 }
 
-// maxCoordinators is the number of hosts that complete the promotions of a service that
-// others have begun.
-const maxCoordinators = 3
-
-// coordinates reports whether a host is one of the coordinators of a service.
-func coordinates(self, service string, all []hosts.Host) bool {
-	hosts.Rank(all, service)
-	for _, h := range all[:min(len(all), maxCoordinators)] {
-		if h.Name == self {
-			return true
-		}
+// rank returns the position of a host in the order in which the hosts that are alive act
+// on a service. In a small fleet every host is the first.
+func rank(self, service string, registry *hosts.Registry, alive func() []hosts.Host) int {
+	if known, _ := registry.Live(); known <= hosts.MaxSmallFleet {
+		return 0
 	}
-	return false
+	all := alive()
+	hosts.Rank(all, service)
+	return max(0, slices.IndexFunc(all, func(h hosts.Host) bool { return h.Name == self }))
 }
 
 // accounts returns the accounts of the current configuration, or nil without one.
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -45,6 +45,8 @@
 	paused map[string]bool
 	fenced bool
 	terms  *fakeTerms
+	// ranks holds the ranks of the hosts; 0 if it is not set.
+	ranks map[string]int
 }
 
 // fakeTerms implements Terms for one service.
@@ -153,7 +155,7 @@
 			Hosts:    func() (int, int) { return hosts, domains },
 			Promoter: w, Inspector: w, Failing: func(*catalog.Server) bool { return w.failing[name] },
 			Terms: w.terms, LeaderEpoch: func(string) uint64 { return w.terms.leader }, FindLeader: func(string) bool { return false },
-			Coordinates: func(string) bool { return true }, Fenced: func() bool { return w.fenced },
+			Rank: func(string) int { return w.ranks[name] }, Fenced: func() bool { return w.fenced },
 
 			Log: zap.NewNop(), Registry: metrics.NewRegistry(),
 		})
@@ -191,6 +193,40 @@
 		Expect(w.orders[0].id).To(Equal("r2"))
 	})
 
+	// Guards against calls to the store that grow with the hosts: each of 195 hosts tried
+	// to take the duty for a service every 400 ms, and all but one in vain.
+	It("lets the hosts of a large fleet act in turn", func() {
+		const fleetSize = 60
+		w := newFakeFleet(fleetSize, 0)
+		w.ranks = map[string]int{}
+		for i := range fleetSize {
+			w.ranks[fmt.Sprintf("h%d", i)] = (i + 7) % fleetSize
+		}
+		w.snapshot.Servers["p"].Draining = true
+		before := w.memory.Calls()
+		w.run(10)
+		Expect(w.orders).NotTo(BeEmpty())
+		Expect(w.orders[0].holder).To(Equal("h53"))
+		Expect(w.memory.Calls() - before).To(BeNumerically("<=", 10))
+	})
+
+	// Guards against a primary that stays because the first hosts in turn cannot act.
+	It("lets other hosts act if the first ones do not", func() {
+		w := newFakeFleet(9, 0)
+		w.ranks = map[string]int{}
+		for i := range 9 {
+			w.ranks[fmt.Sprintf("h%d", i)] = i
+		}
+		for _, r := range w.hosts[:maxCoordinators] {
+			r.options.Lease = func() (platform.LeaseID, time.Duration) { return 0, 0 }
+		}
+		w.snapshot.Servers["p"].Draining = true
+		w.run(int(othersDelay/tickInterval) - 1)
+		Expect(w.orders).To(BeEmpty())
+		w.run(10)
+		Expect(w.orders).NotTo(BeEmpty())
+	})
+
 	// Guards against a failure domain that is cut off and replaces primaries that the
 	// other failure domains still reach.
 	DescribeTable("requires suspicions from a third of the hosts in two failure domains",
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -36,6 +36,12 @@
 	// minPromotionInterval is the minimum time between two unplanned promotions of
 	// one service.
 	minPromotionInterval = 3 * time.Second
+	// maxCoordinators is the number of hosts that act on a service in turn, turnInterval
+	// apart. The others follow after othersDelay, turnStep apart.
+	maxCoordinators = 3
+	turnInterval    = 400 * time.Millisecond
+	othersDelay     = 2500 * time.Millisecond
+	turnStep        = 100 * time.Millisecond
 	// minLeaseValidity is the minimum remaining validity of the host's lease for
 	// using a duty, so that the lease does not expire during an order.
 	minLeaseValidity = orderTimeout + 100*time.Millisecond
@@ -89,9 +95,9 @@
 	// one.
 	LeaderEpoch func(service string) uint64
 	FindLeader  func(service string) bool
-	// Coordinates reports whether this host is one of the few that complete the
-	// promotions that others have begun.
-	Coordinates func(service string) bool
+	// Rank returns the position of this host in the order in which the hosts that are
+	// alive act on a service; 0 is the first. In a small fleet every host is the first.
+	Rank func(service string) int
 	// Fenced says that the platform refuses orders with an old fencing token, and that
 	// a primary loses its role when another one takes it.
 	Fenced   func() bool
@@ -114,6 +120,9 @@
 	busy            bool
 	reportedSuspect string
 	missingSince    time.Time
+	// reason is why the primary is to be replaced, since reasonSince.
+	reason      Reason
+	reasonSince time.Time
 	// leaderlessSince is since when the newest term is closed without a known
 	// successor.
 	leaderlessSince time.Time
@@ -202,10 +211,13 @@
 	if reason == NoReason {
 		reason = r.updateSuspicion(ctx, service, state, primary)
 	}
-	if reason == NoReason {
+	now := r.now()
+	if reason != state.reason {
+		state.reason, state.reasonSince = reason, now
+	}
+	if reason == NoReason || !r.isTurn(service, state, now) {
 		return
 	}
-	now := r.now()
 	if state.orderedInstance != "" && now.Before(state.retryAt) {
 		return
 	}
@@ -222,11 +234,26 @@
 	r.promote(ctx, service, state, snapshot, primary, reason)
 }
 
+// isTurn reports whether this host may act on the reason to replace a primary. In a
+// large fleet most hosts notice it at the same time, and each attempt to take the duty is
+// a call to the store; so one host acts first and the others only if it does not.
+func (r *Runner) isTurn(service string, state *serviceState, now time.Time) bool {
+	if state.token != 0 {
+		return true
+	}
+	rank := r.options.Rank(service)
+	wait := time.Duration(rank) * turnInterval
+	if rank >= maxCoordinators {
+		wait = othersDelay + time.Duration(rank)*turnStep
+	}
+	return now.Sub(state.reasonSince) >= wait
+}
+
 // leaderless reports whether the newest known term has been closed for a while and no
 // instance leads a newer one.
 func (r *Runner) leaderless(service string, state *serviceState) bool {
 	closed := r.options.Terms.Closed(service)
-	if closed == 0 || r.options.LeaderEpoch(service) > closed || !r.options.Coordinates(service) {
+	if closed == 0 || r.options.LeaderEpoch(service) > closed || r.options.Rank(service) >= maxCoordinators {
 		state.leaderlessSince = time.Time{}
 		return false
 	}
