promotion: keep the proved leader; spread the first reads of closed terms

All hosts lost their leases for 1 s at the end of a store outage of 5.5 s, because none had read the closed terms since their common start.

Change: once a term was closed the proved leader counts as the primary. The first interval between two reads is uniform from 0.

--- a/internal/leadership/runner.go
+++ b/internal/leadership/runner.go
@@ -248,16 +248,19 @@
 	return true
 }
 
-// readInterval returns the time between two reads of the store by this host. It is
-// random, so that the reads of the hosts are spread.
-func (r *Runner) readInterval() time.Duration {
-	mean := time.Duration(len(r.options.Hosts())) * fleetReadInterval
+// readInterval returns the time until the next read of the store by this host. It is
+// random, so that the reads of the hosts are spread, also when they started together.
+func readInterval(fleet int, first bool) time.Duration {
+	mean := time.Duration(max(1, fleet)) * fleetReadInterval
+	if first {
+		return rand.N(mean)
+	}
 	return mean/2 + rand.N(mean)
 }
 
 // readStore reads the closed terms from the store.
 func (r *Runner) readStore(ctx context.Context) {
-	interval := r.readInterval()
+	interval := readInterval(len(r.options.Hosts()), !r.core.Confirms())
 	defer func() {
 		if !r.core.Confirms() {
 			// Until the first read this host confirms nobody.
--- a/internal/promotion/handover.go
+++ b/internal/promotion/handover.go
@@ -21,6 +21,9 @@
 type Terms interface {
 	// Closed returns the newest closed term of a service; 0 if none is closed.
 	Closed(service string) uint64
+	// Leader returns the instance that has proved to lead the newest term of a service;
+	// the term is 0 if none is known.
+	Leader(service string) (instance string, epoch uint64)
 	// MarkClosed records that a term has ended, for a leader that has lost its role.
 	MarkClosed(service string, epoch uint64)
 	// CloseTerm returns nil once no host uses a leader of the term or an earlier one.
@@ -43,6 +46,18 @@
 // errStepFailed stands for the result of a step that ended by a panic.
 var errStepFailed = errors.New("the step failed")
 
+// currentPrimary returns the primary of a service, or nil if there is none. Once a term
+// was closed it is the proved leader of a newer one: an old primary that comes back
+// registers itself as the primary again.
+func (r *Runner) currentPrimary(snapshot *catalog.Snapshot, service string) *catalog.Server {
+	closed := r.options.Terms.Closed(service)
+	id, epoch := r.options.Terms.Leader(service)
+	if leader := snapshot.Servers[id]; closed > 0 && epoch > closed && leader != nil {
+		return leader
+	}
+	return snapshot.Primary(service)
+}
+
 // handOver makes sure that no host uses the old primary before another instance is
 // promoted. The promotion must follow while the duty is held.
 func (r *Runner) handOver(ctx context.Context, service string, state *serviceState, primary *catalog.Server, plan promotionPlan) error {
--- a/internal/promotion/handover_test.go
+++ b/internal/promotion/handover_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/leadership"
 	"github.com/bramleylever/bramleylever/internal/platform"
 )
@@ -125,6 +126,18 @@
 		Expect(w.orders).To(BeEmpty())
 	})
 
+	// Guards against a second, needless promotion: the old primary came back, registered
+	// itself as the primary again, and was found not to answer as one.
+	It("does not replace the new primary when the old one comes back", func() {
+		w := newUnfenced()
+		w.terms.closed, w.terms.leader, w.terms.proved = 1, 2, "r1"
+		for _, r := range w.hosts {
+			r.options.Failing = func(server *catalog.Server) bool { return server.ID == "p" }
+		}
+		w.run(40)
+		Expect(w.orders).To(BeEmpty())
+	})
+
 	// Guards against a service without a primary for ever: the host that closed the term
 	// ended before it ordered the promotion.
 	It("is completed by another host", func() {
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -53,6 +53,8 @@
 type fakeTerms struct {
 	leader uint64
 	closed uint64
+	// proved is the instance that leads the term leader.
+	proved string
 	// inUse makes CloseTerm fail, and undemotable makes Demote fail.
 	inUse       bool
 	undemotable bool
@@ -62,6 +64,8 @@
 
 func (f *fakeTerms) Closed(string) uint64 { return f.closed }
 
+func (f *fakeTerms) Leader(string) (string, uint64) { return f.proved, f.leader }
+
 func (f *fakeTerms) MarkClosed(_ string, epoch uint64) { f.closed = max(f.closed, epoch) }
 
 func (f *fakeTerms) CloseTerm(_ context.Context, _ string, epoch uint64) error {
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -206,7 +206,7 @@
 
 // step checks the primary of one service and replaces it if there is a reason.
 func (r *Runner) step(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot) {
-	primary := snapshot.Primary(service)
+	primary := r.currentPrimary(snapshot, service)
 	reason := plannedReason(snapshot, primary)
 	if reason == NoReason {
 		reason = r.updateSuspicion(ctx, service, state, primary)
