--- a/internal/leadership/handover.go
+++ b/internal/leadership/handover.go
@@ -37,9 +37,6 @@
 // ErrNotClosed means that another host may still use the leader of the term.
 var ErrNotClosed = errors.New("another host may still use the leader")
 
-// errCallFailed stands for the result of a call that ended by a panic.
-var errCallFailed = errors.New("the call failed")
-
 const (
 	// closeTimeout bounds one call that asks a host to stop using a leader.
 	closeTimeout = 300 * time.Millisecond
@@ -155,12 +152,7 @@
 	ctx, cancel := context.WithTimeout(ctx, demoteTimeout)
 	defer cancel()
 	results := make(chan error, maxDemoteHosts+1)
-	demote := func(call func() error) {
-		err := errCallFailed
-		defer func() { results <- err }()
-		defer recovery.Contain("demote", nil)
-		err = call()
-	}
+	demote := func(call func() error) { results <- recovery.Call("demote", call) }
 	go demote(func() error { return r.options.DemoteHere(ctx, serverID, epoch) })
 	helpers := neighbors(r.options.Self, r.options.Hosts(), r.Alive())
 	helpers = helpers[:min(len(helpers), maxDemoteHosts)]
--- a/internal/promotion/handover.go
+++ b/internal/promotion/handover.go
@@ -43,9 +43,6 @@
 	lateOrderTime = 8 * time.Second
 )
 
-// errStepFailed stands for the result of a step that ended by a panic.
-var errStepFailed = errors.New("the step failed")
-
 // currentPrimary returns the primary of a service, or nil if there is none. Once a term
 // was closed it is the proved leader of a newer one: an old primary that comes back
 // registers itself as the primary again.
@@ -78,12 +75,7 @@
 		}
 	}
 	results := make(chan error, 2)
-	start := func(call func() error) {
-		err := errStepFailed
-		defer func() { results <- err }()
-		defer recovery.Contain("hand over", nil)
-		err = call()
-	}
+	start := func(call func() error) { results <- recovery.Call("hand over", call) }
 	calls := 1
 	go start(func() error { return r.options.Terms.CloseTerm(ctx, service, epoch) })
 	if primary != nil && !plan.planned {
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,17 @@
 	f()
 }
 
+// ErrPanic is the error of a call that ended by a panic.
+var ErrPanic = errors.New("the call ended by a panic")
+
+// Call runs a function and returns its error, or ErrPanic if it panicked.
+func Call(where string, f func() error) (err error) {
+	err = ErrPanic
+	defer Contain(where, nil)
+	err = f()
+	return err
+}
+
 // Loop runs a function that works until ctx ends, and starts it again after a panic.
 // The function must not rely on state that an earlier run may have left half changed.
 func Loop(ctx context.Context, where string, f func(context.Context)) {
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -71,6 +71,12 @@
 		Expect(count()).To(Equal(int64(2)))
 	})
 
+	// Guards against a caller that waits for ever for the result of a call that panicked.
+	It("becomes the error of a call", func() {
+		Expect(Call("test", func() error { panic("fault") })).To(MatchError(ErrPanic))
+		Expect(Call("test", func() error { return nil })).To(Succeed())
+	})
+
 	// Guards against a cleanup that panics as well.
 	It("in a cleanup is contained too", func() {
 		done := make(chan struct{})
