gatewayd: assemble the parts in a file of its own

Cause: Run had grown to 110 lines that create, connect, start and stop eleven parts. Change: assemble, register and startLoops in assemble.go.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -24,9 +24,6 @@
 	"github.com/bramleylever/bramleylever/internal/platform"
 	"github.com/bramleylever/bramleylever/internal/promotion"
 	"github.com/bramleylever/bramleylever/internal/quota"
-	"github.com/bramleylever/bramleylever/internal/reachability"
-	"github.com/bramleylever/bramleylever/internal/recovery"
-	"github.com/bramleylever/bramleylever/internal/relay"
 )
 
 const (
@@ -136,114 +133,54 @@
 	d.log.Info("start", zap.String("host", o.Host), zap.String(logging.FieldDomain, o.Domain))
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-
-	follower := catalog.NewFollower(o.Store, o.Layout, func() time.Duration { return d.Settings().DrainTime }, d.log)
-	registry := hosts.New(hosts.Host{Name: o.Host, Domain: o.Domain, Address: o.PeerAddress}, o.Store, d.log)
-	registry.OnReconnected(follower.Resync)
-	d.hosts.Store(registry)
-	peers := peer.NewPool()
-	defer func() { _ = peers.Close() }()
-	limiter := quota.NewLimiter(quota.Options{
-		Host: o.Host, Store: o.Store, HostCount: registry.Count, Log: d.log,
-		Slack: func() quota.Slack { return d.Settings().Slack }, Registry: o.Registry,
-		Registered: registry.InUse, ConfirmedAt: registry.RenewedAt,
-		Hosts: registry.Hosts, Lender: quota.PeerLender{Peers: peers},
-		Accounts: func() map[string]*catalog.Account { return accounts(follower.Snapshot()) },
-	})
-	detector := &isolationDetector{
-		domains: reachability.New(o.Domain), peers: reachability.New(o.Host),
-		fleet: func() int { count, _ := registry.Live(); return count },
-	}
-	pool := connpool.New(connpool.Config{Dialer: o.Dialer, IdleTime: idleTime, Registry: o.Registry})
-	router := relay.NewRouter(relay.Options{
-		Self: o.Host, Pool: pool, Peers: peers, Hosts: registry.Hosts, Catalog: follower.Snapshot,
-		Revisions: follower.Revisions, Hint: follower.Hint, Reachability: detector.peers, Log: d.log, Registry: o.Registry,
-	})
-	exchange := catalog.NewExchange(follower, hosts.Host{Name: o.Host, Domain: o.Domain}, registry.Hosts, peers, d.log)
-	var g *gateway.Gateway
-	leaders := leadership.New(leadership.Options{
-		Self: o.Host, Store: o.Store, Peers: peers, Hosts: registry.Hosts, Counted: registry.Counted,
-		Revisions: follower.Revisions, Hint: follower.Hint, Catalog: exchange, Log: d.log, Registry: o.Registry,
-		DemoteHere: func(ctx context.Context, id string, epoch uint64) error { return g.Demote(ctx, id, epoch) },
-	})
-	registry.SetAlive(leaders.HostAlive)
+	c := d.assemble()
+	defer func() { _ = c.peers.Close() }()
 	server, err := peer.Listen(o.PeerAddress, o.Registry)
 	if err != nil {
 		return err
 	}
 	defer server.Stop()
-	g = gateway.New(gateway.Options{
-		Catalog: follower.Snapshot, Changed: follower.Changed, Conns: router, Admission: limiter,
-		Positions: router, Terms: leaders, Domain: o.Domain, Reachability: detector.domains, Log: d.log, Registry: o.Registry,
-	})
-	router.Register(server, g)
-	limiter.Register(server)
-	leaders.Register(server)
-	exchange.Register(server)
-	d.relayCatalog(follower, registry, leaders)
+	c.register(server)
 	go func() {
 		if err := server.Serve(); err != nil {
 			d.log.Error("peer server failed", zap.Error(err))
 		}
 	}()
-
-	promotionRunner := promotion.New(promotion.Options{
-		Host: o.Host, Domain: o.Domain, Store: o.Store, Catalog: follower.Snapshot,
-		Lease: registry.Lease, Hosts: registry.Live, Promoter: o.Promoter, Inspector: g.Inspector(),
-		Failing: g.Failing, Terms: leaders, LeaderEpoch: g.LeaderEpoch, FindLeader: g.FindLeader,
-		Rank:   func(service string) int { return rank(o.Host, service, registry, leaders.Alive) },
-		Fenced: func() bool { return d.Settings().Fenced },
-		Log:    d.log, Registry: o.Registry,
-	})
-
 	readiness, err := o.ServeReadiness(func() bool { return d.ready.Load() && !d.isolated.Load() })
 	if err != nil {
 		return fmt.Errorf("serve readiness: %w", err)
 	}
 	defer func() { _ = readiness.Close() }()
-	callers, err := o.ServeCallers(g)
+	callers, err := o.ServeCallers(c.gateway)
 	if err != nil {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	defer func() { _ = callers.Close() }()
-
-	recovery.Go("catalog", func() { follower.Run(background) })
-	go recovery.Loop(background, "quota", limiter.Run)
-	keep := func(server *catalog.Server) bool { return keepConnections(follower.Snapshot(), server) }
-	go recovery.Loop(background, "connection pool", func(ctx context.Context) { pool.Run(ctx, keep) })
-	go recovery.Loop(ctx, "promotion", promotionRunner.Run)
-	go recovery.Loop(background, "leadership", leaders.Run)
-	go recovery.Loop(background, "catalog exchange", exchange.Run)
-	registryDone := make(chan struct{})
-	go func() {
-		defer close(registryDone)
-		recovery.Loop(ctx, "host registration", registry.Run)
-	}()
-	go recovery.Loop(background, "isolation", func(ctx context.Context) { d.watchIsolation(ctx, detector, g, registry.Hosts, router) })
-	if follower.WaitReady(ctx) == nil {
-		limiter.WaitRestored(ctx)
+	unregistered := d.startLoops(ctx, background, c)
+	if c.follower.WaitReady(ctx) == nil {
+		c.limiter.WaitRestored(ctx)
 		d.ready.Store(true)
-		d.log.Info("ready", zap.Int64("config_version", follower.Snapshot().Config.Version))
+		d.log.Info("ready", zap.Int64("config_version", c.follower.Snapshot().Config.Version))
 	}
 	<-ctx.Done()
-	router.Drain()
-	d.drain(g, router.Serving)
-	<-registryDone
+	c.router.Drain()
+	d.drain(c.gateway, c.router.Serving)
+	<-unregistered
 	return nil
 }
 
 // relayCatalog makes a few hosts of each failure domain follow the store for the others
 // in a large fleet.
-func (d *Daemon) relayCatalog(follower *catalog.Follower, registry *hosts.Registry, leaders *leadership.Runner) {
-	follower.SetRelaying(catalog.Relaying{
-		Known:    registry.Known,
-		Isolated: leaders.Isolated,
+func (d *Daemon) relayCatalog(c *components) {
+	c.follower.SetRelaying(catalog.Relaying{
+		Known:    c.registry.Known,
+		Isolated: c.leaders.Isolated,
 		Enabled: func() bool {
-			known, _ := registry.Live()
+			known, _ := c.registry.Live()
 			return known > hosts.MaxSmallFleet
 		},
 		Watches: func() bool {
-			watchers := leadership.Watchers(d.options.Domain, leaders.Alive())
+			watchers := leadership.Watchers(d.options.Domain, c.leaders.Alive())
 			return slices.ContainsFunc(watchers, func(h hosts.Host) bool { return h.Name == d.options.Host })
 		},
 	})
@@ -251,11 +188,11 @@
 
 // rank returns the position of a host in the order in which the hosts that are alive act
 // on a service. In a small fleet every host is the first.
-func rank(self, service string, registry *hosts.Registry, alive func() []hosts.Host) int {
-	if known, _ := registry.Live(); known <= hosts.MaxSmallFleet {
+func rank(self, service string, c *components) int {
+	if known, _ := c.registry.Live(); known <= hosts.MaxSmallFleet {
 		return 0
 	}
-	all := alive()
+	all := c.leaders.Alive()
 	hosts.Rank(all, service)
 	return max(0, slices.IndexFunc(all, func(h hosts.Host) bool { return h.Name == self }))
 }
--- a/internal/gatewayd/isolation.go
+++ b/internal/gatewayd/isolation.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/bramleylever/bramleylever/internal/gateway"
 	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/reachability"
 	"github.com/bramleylever/bramleylever/internal/relay"
@@ -37,7 +36,7 @@
 
 // watchIsolation makes the host report not ready while it is isolated, and closes idle
 // sessions once the load balancer sends callers to other hosts.
-func (d *Daemon) watchIsolation(ctx context.Context, detector *isolationDetector, g *gateway.Gateway, all func() []hosts.Host, router *relay.Router) {
+func (d *Daemon) watchIsolation(ctx context.Context, c *components) {
 	ticker := time.NewTicker(isolationCheckInterval)
 	defer ticker.Stop()
 	changedAt := time.Now()
@@ -47,11 +46,11 @@
 			return
 		case <-ticker.C:
 		}
-		isolated := detector.isolated()
+		isolated := c.detector.isolated()
 		if isolated {
 			// All failures may be due to a single peer, so other hosts are probed.
-			probeOtherDomains(ctx, detector.domains, d.options.Domain, all(), router)
-			isolated = detector.isolated()
+			probeOtherDomains(ctx, c.detector.domains, d.options.Domain, c.registry.Hosts(), c.router)
+			isolated = c.detector.isolated()
 		}
 		if isolated != d.isolated.Load() {
 			d.isolated.Store(isolated)
@@ -59,7 +58,7 @@
 			changedAt = time.Now()
 		}
 		if isolated && time.Since(changedAt) >= removalTime {
-			g.CloseIdle()
+			c.gateway.CloseIdle()
 		}
 	}
 }
