--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -72,11 +72,10 @@
 var ErrPanic = errors.New("the call ended by a panic")
 
 // Call runs a function and returns its error, or ErrPanic if it panicked.
-func Call(where string, f func() error) (err error) {
-	err = ErrPanic
-	defer Contain(where, nil)
-	err = f()
-	return err
+func Call(where string, f func() error) error {
+	result := ErrPanic
+	Run(where, func() { result = f() })
+	return result
 }
 
 // Loop runs a function that works until ctx ends, and starts it again after a panic.
