catalog: number what was read by its newest entry

Change: the revision of a read is that of its newest entry, and of the read only if a removal was missed.

--- a/internal/catalog/subscription.go
+++ b/internal/catalog/subscription.go
@@ -163,12 +163,26 @@
 	defer s.mu.Unlock()
 	s.next = asOf + 1
 	s.newest = max(s.newest, newest)
-	if !maps.EqualFunc(state, s.replica.State(), sameRevision) || s.replica.Revision() == 0 {
-		s.replica.Adopt(asOf, state)
-	}
+	s.adoptRead(state, newest, asOf)
 	s.confirm(asked)
 }
 
+// adoptRead makes the result of a full read the state of the replica if it differs. Its
+// revision is that of the newest entry and not that of the read: otherwise each host that
+// starts would seem to know more than all others, and they would fetch everything from
+// it. The caller holds the lock.
+func (s *subscription) adoptRead(state entries, newest, asOf int64) {
+	known := s.replica.Revision()
+	if known > 0 && maps.EqualFunc(state, s.replica.State(), sameRevision) {
+		return
+	}
+	if newest <= known || newest == 0 {
+		// A deletion was missed, or there are no entries.
+		newest = asOf
+	}
+	s.replica.Adopt(newest, state)
+}
+
 func sameRevision(a, b platform.KeyValue) bool { return a.ModRevision == b.ModRevision }
 
 // confirm records that the store had no later change at the given time. The caller
