Move the choice of watching hosts to the catalog

Cause: leadership chose who follows the catalog for others, which is the catalog's duty. Change: catalog.Watchers in watchers.go. Result: tests pass; no behaviour changes.

--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -18,7 +18,6 @@
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/gateway"
 	"github.com/bramleylever/bramleylever/internal/hosts"
-	"github.com/bramleylever/bramleylever/internal/leadership"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/peer"
 	"github.com/bramleylever/bramleylever/internal/platform"
@@ -123,7 +122,7 @@
 	if known <= hosts.MaxSmallFleet {
 		return minWatch
 	}
-	limit := min(maxWatch, time.Duration(domains*leadership.WatchersPerDomain)*watchPerWatcher)
+	limit := min(maxWatch, time.Duration(domains*catalog.WatchersPerDomain)*watchPerWatcher)
 	return max(minWatch, limit/2+rand.N(limit/2+1))
 }
 
@@ -180,7 +179,7 @@
 			return known > hosts.MaxSmallFleet
 		},
 		Watches: func() bool {
-			watchers := leadership.Watchers(d.options.Domain, c.leaders.Alive())
+			watchers := catalog.Watchers(d.options.Domain, c.leaders.Alive())
 			return slices.ContainsFunc(watchers, func(h hosts.Host) bool { return h.Name == d.options.Host })
 		},
 	})
