catalog: record a change before those that wait for it are woken

Cause, found in reading: the announcement of a change was woken by the new view before the change had a revision, and was then left out. Change: the revision comes first. Result: a test that could fail on the old order; internal/catalog passes.

--- a/internal/catalog/peers_test.go
+++ b/internal/catalog/peers_test.go
@@ -81,6 +81,22 @@
 		Expect(f.Snapshot().Servers["i2"].Lapsed).To(BeZero())
 	})
 
+	// Guards against a change that is not announced: the host was woken by the new view
+	// before it knew its revision, and the others learned of it from later heartbeats.
+	It("know the revision of a change when they are woken by it", func() {
+		f := read()
+		before := f.Revisions().Servers
+		changed := f.Changed()
+		seen := make(chan int64, 1)
+		go func() {
+			<-changed
+			seen <- f.Revisions().Servers
+		}()
+		put("s/i2", Server{Service: "x"})
+		Expect(f.servers.readAll(ctx)).To(Succeed())
+		Eventually(seen).Should(Receive(BeNumerically(">", before)))
+	})
+
 	// Guards against hosts that confirm each other without anyone having asked the store.
 	It("know how old their knowledge is", func() {
 		f := read()
--- a/internal/catalog/subscription.go
+++ b/internal/catalog/subscription.go
@@ -205,10 +205,12 @@
 func (s *subscription) apply(update *platform.WatchUpdate) {
 	s.applying.Lock()
 	defer s.applying.Unlock()
-	if len(update.Events) == 0 || s.lacks(update.Revision) {
+	fresh := len(update.Events) == 0 || s.lacks(update.Revision)
+	// Recorded first, so that whoever is woken by the new view sees its revision.
+	s.recordUpdate(update)
+	if fresh {
 		s.follower.applyUpdate(s.prefix, update)
 	}
-	s.recordUpdate(update)
 }
 
 // recordUpdate records an update that a watch delivered.
@@ -313,10 +315,11 @@
 	}
 	s.applying.Lock()
 	defer s.applying.Unlock()
-	if s.lacks(asOf) {
+	fresh := s.lacks(asOf)
+	s.recordRead(items, asOf, asked)
+	if fresh {
 		s.follower.replace(s.prefix, items, asked)
 	}
-	s.recordRead(items, asOf, asked)
 	return nil
 }
 
