connpool: an overloaded instance that still answers is not unreachable

Suspected: the opening of a connection that waited 400 ms at an overloaded instance made its owner count as cut off, work moved to other owners, and these opened more.

Change: a dial that ran into its time limit counts only if the instance has been silent on all connections meanwhile.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -281,8 +281,9 @@
 			in.failWaiters(ErrNoConnection)
 		}
 		p.openForWaiters(in)
-		// A dial that was given up early proves nothing.
-		if refusal == nil && (ctx.Err() == nil || p.now().Sub(started) >= minSilence) {
+		// A dial that was given up early, or at an overloaded instance that still answers
+		// on other connections, proves nothing.
+		if refusal == nil && (ctx.Err() == nil || in.silent(started)) {
 			in.recordUnreached()
 			err = fmt.Errorf("%w: %w", ErrUnreachable, err)
 		}
