--- a/internal/connpool/dialing_test.go
+++ b/internal/connpool/dialing_test.go
@@ -40,7 +40,46 @@
 	return &fakeLink{alive: true}, nil
 }
 
+// stuckDialer opens no connection before the context ends.
+type stuckDialer struct{}
+
+func (stuckDialer) Dial(ctx context.Context, _ *catalog.Server, _ string) (Link, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 var _ = Describe("Connections that are opened", func() {
+	// dialSlowly lets a dial run into its time limit while the instance answers on another
+	// connection or not, and returns the error of the next request.
+	dialSlowly := func(answers bool) error {
+		p := New(Config{Dialer: stuckDialer{}, IdleTime: time.Minute, Registry: metrics.NewRegistry()})
+		server := &catalog.Server{ID: "i1"}
+		limit := Limit{MaxOpen: 4, MaxIdle: 4}
+		p.mu.Lock()
+		in := p.instance(server)
+		p.mu.Unlock()
+		in.recordAnswer(time.Now())
+		ctx, cancel := context.WithTimeout(context.Background(), minSilence+100*time.Millisecond)
+		defer cancel()
+		if answers {
+			timer := time.AfterFunc(minSilence/2, func() { in.recordAnswer(time.Now()) })
+			defer timer.Stop()
+		}
+		_, err := p.Acquire(ctx, server, "a", nil, limit)
+		Expect(err).To(HaveOccurred())
+		short, cancelShort := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancelShort()
+		_, err = p.Acquire(short, server, "a", nil, limit)
+		return err
+	}
+
+	// Guards against an overloaded instance that is taken for unreachable: its work moved
+	// to other owners, which opened more connections, until it served nothing.
+	It("late do not make an instance count as unreachable while it answers", func() {
+		Expect(dialSlowly(true)).NotTo(MatchError(ErrUnreachable))
+		Expect(dialSlowly(false)).To(MatchError(ErrUnreachable))
+	})
+
 	acquireAll := func(d *slowDialer, count int) (served int) {
 		p := New(Config{Dialer: d, IdleTime: time.Minute, Registry: metrics.NewRegistry()})
 		server := &catalog.Server{ID: "i1"}
--- a/internal/leadership/core.go
+++ b/internal/leadership/core.go
@@ -2,7 +2,7 @@
 // takes that right from all hosts before another leader is appointed.
 //
 // An instance that was replaced as the leader may not know it and still accept writes.
-// Therefore hosts vouch for each other: a host uses leaders only while a quorum of the
+// Therefore hosts confirm each other: a host uses leaders only while a quorum of the
 // hosts has recently confirmed it, directly or through other hosts. To replace a
 // leader, a host closes its term. A host that knows of a closed term passes this on
 // with every heartbeat, so that a host whose confirmations are newer than the closing
