--- a/internal/catalog/peers_test.go
+++ b/internal/catalog/peers_test.go
@@ -33,12 +33,9 @@
 		Expect(f.servers.readAll(ctx)).To(Succeed())
 		return f
 	}
-	// fetch makes one follower get what it lacks of the servers from another one, and
-	// returns the update.
-	fetch := func(to, from *Follower) Update {
-		u := from.Since(ServersPart, to.Confirmation(ServersPart).Revision)
-		to.Apply(ServersPart, u)
-		return u
+	// fetch makes one follower get what it lacks of the servers from another one.
+	fetch := func(to, from *Follower) {
+		to.Apply(ServersPart, from.Since(ServersPart, to.Confirmation(ServersPart).Revision))
 	}
 	BeforeEach(func() {
 		memory = platformtest.NewMemory(nil)
