gateway: tests of the use of leaders

Cause: what a host may send to a leader, and what an acknowledgement is worth, was tested in leadership only. Change: lost right, closed term before and during writes, commits and open transactions, the search for the leader of a new term.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -23,6 +23,8 @@
 	mu        sync.Mutex
 	instances map[string]*fakeInstance
 	runs      []run
+	// onRun is called for each statement that runs, if it is set.
+	onRun func(instance string, kind statement.Kind)
 }
 
 // run records a statement that an instance executed.
@@ -147,7 +149,12 @@
 
 func (h *fakeHandle) apply(in *fakeInstance, st *statement.Statement) statement.Result {
 	result := statement.Result{Signature: h.id + "/" + st.ID, State: statement.Idle}
+	if h.group.onRun != nil {
+		h.group.onRun(h.id, st.Kind)
+	}
 	switch st.Kind {
+	case statement.Status:
+		result.Instance = &statement.Instance{Primary: in.leads, Term: in.term, Received: in.position()}
 	case statement.Write:
 		if h.tx {
 			h.wrote++
@@ -176,6 +183,46 @@
 	snapshot *catalog.Snapshot
 	now      time.Time
 	admit    bool
+	terms    *fakeTerms
+}
+
+// fakeTerms implements Terms for one service. It may be used concurrently.
+type fakeTerms struct {
+	mu     sync.Mutex
+	lost   time.Duration
+	closed uint64
+	leader string
+	epoch  uint64
+}
+
+func (f *fakeTerms) Lost() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
+}
+
+func (f *fakeTerms) Closed(string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed
+}
+
+func (f *fakeTerms) Leader(string) (string, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leader, f.epoch
+}
+
+func (f *fakeTerms) AddLeader(_, instance string, epoch uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leader, f.epoch = instance, epoch
+}
+
+func (f *fakeTerms) close(epoch uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = epoch
 }
 
 func (s *fixture) Admit(*catalog.Account, time.Time) bool { return s.admit }
@@ -183,7 +230,7 @@
 const key = "the-key"
 
 func newFixture() *fixture {
-	s := &fixture{now: time.Now(), admit: true}
+	s := &fixture{now: time.Now(), admit: true, terms: &fakeTerms{}}
 	s.group = &fakeGroup{instances: map[string]*fakeInstance{
 		"p": {leads: true, term: 1, applied: 100}, "r1": {term: 1, applied: 90}, "r2": {term: 1, applied: 90},
 	}}
@@ -211,7 +258,7 @@
 	}
 	s.gateway = New(Options{
 		Catalog: func() *catalog.Snapshot { return s.snapshot }, Changed: func() <-chan struct{} { return nil },
-		Conns: s.group, Admission: s, Domain: "d1", Reachability: reachability.New("d1"), Log: zap.NewNop(), Registry: metrics.NewRegistry(),
+		Conns: s.group, Admission: s, Terms: s.terms, Domain: "d1", Reachability: reachability.New("d1"), Log: zap.NewNop(), Registry: metrics.NewRegistry(),
 	})
 	return s
 }
