--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -219,10 +219,11 @@
 	f.leader, f.epoch = instance, epoch
 }
 
-func (f *fakeTerms) close(epoch uint64) {
+// closeFirst closes term 1.
+func (f *fakeTerms) closeFirst() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.closed = epoch
+	f.closed = 1
 }
 
 func (s *fixture) Admit(*catalog.Account, time.Time) bool { return s.admit }
--- a/internal/gateway/leader_test.go
+++ b/internal/gateway/leader_test.go
@@ -37,7 +37,7 @@
 			Expect(f.session("strong").handle(write("w")).Code).To(Equal(statement.InDoubt))
 			Expect(f.group.runsOf("w")).To(HaveLen(1))
 		},
-		Entry("term closed", func(f *fixture) { f.terms.close(1) }),
+		Entry("term closed", func(f *fixture) { f.terms.closeFirst() }),
 		Entry("right lost", func(f *fixture) {
 			f.terms.mu.Lock()
 			defer f.terms.mu.Unlock()
@@ -53,7 +53,7 @@
 		Expect(s.handle(write("w")).Succeeded()).To(BeTrue())
 		f.group.onRun = func(_ string, kind statement.Kind) {
 			if kind == statement.Commit {
-				f.terms.close(1)
+				f.terms.closeFirst()
 			}
 		}
 		Expect(s.handle(simple("c", statement.Commit)).Code).To(Equal(statement.InDoubt))
@@ -65,7 +65,7 @@
 		s := f.session("strong")
 		Expect(s.handle(simple("b", statement.Begin)).Succeeded()).To(BeTrue())
 		Expect(s.handle(write("w")).Succeeded()).To(BeTrue())
-		f.terms.close(1)
+		f.terms.closeFirst()
 		Expect(s.handle(simple("c", statement.Commit)).Code).To(Equal(statement.Aborted))
 		Expect(f.group.runsOf("c")).To(BeEmpty())
 	})
@@ -74,7 +74,7 @@
 	// one beside the new one.
 	It("moves to the instance that leads a newer term", func() {
 		f := newFixture()
-		f.terms.close(1)
+		f.terms.closeFirst()
 		f.group.set("r1", func(i *fakeInstance) { i.leads, i.term = true, 2 })
 		s := f.session("strong")
 		Expect(s.handle(write("w")).Succeeded()).To(BeTrue())
@@ -90,7 +90,7 @@
 	// 2.6 s after the first one did.
 	It("takes over what another host has found out", func() {
 		f := newFixture()
-		f.terms.close(1)
+		f.terms.closeFirst()
 		f.group.set("r1", func(i *fakeInstance) { i.leads, i.term = true, 2 })
 		f.terms.AddLeader("x", "r1", 2)
 		asked := 0
