--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -214,10 +214,13 @@
 			zap.Int64(logging.FieldRevision, event.ModRevision), zap.Error(err))
 		return
 	}
-	if f.view.setConfig(config) {
-		f.log.Info("configuration in force", zap.Int64("config_version", config.Version),
-			zap.Int64(logging.FieldRevision, event.ModRevision), zap.Int("routes", len(config.Routes)))
+	if !f.view.setConfig(config) {
+		f.log.Info("configuration left out: the current one is not older", zap.Int64("config_version", config.Version),
+			zap.Int64("current_version", f.view.config.Version), zap.Int64(logging.FieldRevision, event.ModRevision))
+		return
 	}
+	f.log.Info("configuration in force", zap.Int64("config_version", config.Version),
+		zap.Int64(logging.FieldRevision, event.ModRevision), zap.Int("routes", len(config.Routes)))
 }
 
 func (f *Follower) applyEvacuation(domain string, ended bool) {
--- a/internal/catalog/subscription.go
+++ b/internal/catalog/subscription.go
@@ -200,12 +200,23 @@
 	return revision >= s.replica.Revision()
 }
 
+// knownRevision returns the revision of the newest change that has been applied.
+func (s *subscription) knownRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replica.Revision()
+}
+
 // apply applies an update that a watch delivered, unless it has arrived from another
 // host before.
 func (s *subscription) apply(update *platform.WatchUpdate) {
 	s.applying.Lock()
 	defer s.applying.Unlock()
 	fresh := len(update.Events) == 0 || s.lacks(update.Revision)
+	if !fresh {
+		s.log.Info("catalog change left out: a newer one is known", zap.Int64(logging.FieldRevision, update.Revision),
+			zap.Int64("known_revision", s.knownRevision()), zap.Int("events", len(update.Events)))
+	}
 	// Recorded first, so that whoever is woken by the new view sees its revision.
 	s.recordUpdate(update)
 	if fresh {
@@ -316,6 +327,8 @@
 	s.applying.Lock()
 	defer s.applying.Unlock()
 	fresh := s.lacks(asOf)
+	s.log.Info("catalog read", zap.Int64(logging.FieldRevision, asOf), zap.Int64("known_revision", s.knownRevision()),
+		zap.Int("entries", len(items)), zap.Bool("applied", fresh))
 	s.recordRead(items, asOf, asked)
 	if fresh {
 		s.follower.replace(s.prefix, items, asked)
--- a/internal/leadership/handover.go
+++ b/internal/leadership/handover.go
@@ -63,6 +63,12 @@
 		}
 		closed[strings.TrimPrefix(item.Key, RecordPrefix)] = record.ClosedEpoch
 	}
+	for service, epoch := range r.core.ClosedTerms() {
+		if closed[service] < epoch {
+			r.options.Log.Info("the store has no record of a closed term", zap.String(logging.FieldStep, "read closed terms"),
+				zap.String("service", service), zap.Uint64(logging.FieldTerm, epoch), zap.Uint64("recorded_term", closed[service]))
+		}
+	}
 	return closed, nil
 }
 
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -13,20 +13,22 @@
 
 // Names of the fields that log lines of decisions have in common.
 const (
-	FieldDecision  = "decision"
-	FieldDatabase  = "database"
-	FieldInstance  = "instance"
-	FieldAccount   = "account"
-	FieldKey       = "key_id"
-	FieldPeer      = "peer"
-	FieldDomain    = "failure_domain"
-	FieldTerm      = "term"
-	FieldRevision  = "revision"
-	FieldReason    = "reason"
-	FieldStep      = "step"
-	FieldSession   = "session"
-	FieldStatement = "statement_class"
-	FieldOmitted   = "omitted_lines"
+	FieldDecision = "decision"
+	FieldDatabase = "database"
+	FieldInstance = "instance"
+	FieldAccount  = "account"
+	FieldKey      = "key_id"
+	FieldPeer     = "peer"
+	FieldDomain   = "failure_domain"
+	FieldTerm     = "term"
+	FieldRevision = "revision"
+	// FieldGeneration is the generation of the platform store's data.
+	FieldGeneration = "store_generation"
+	FieldReason     = "reason"
+	FieldStep       = "step"
+	FieldSession    = "session"
+	FieldStatement  = "statement_class"
+	FieldOmitted    = "omitted_lines"
 )
 
 // New returns a logger that writes JSON lines of at least the given level
--- a/internal/quota/persist.go
+++ b/internal/quota/persist.go
@@ -58,7 +58,12 @@
 // applyDocument applies a ledger document read from the store.
 func (l *Limiter) applyDocument(kv platform.KeyValue) {
 	shard, err := strconv.Atoi(strings.TrimPrefix(kv.Key, Prefix))
-	if err != nil || shard < 0 || shard >= shardCount || kv.ModRevision < l.revisions[shard] {
+	if err != nil || shard < 0 || shard >= shardCount {
+		return
+	}
+	if kv.ModRevision < l.revisions[shard] {
+		l.options.Log.Info("quota ledger left out: a newer one is known", zap.String("key", kv.Key),
+			zap.Int64(logging.FieldRevision, kv.ModRevision), zap.Int64("known_revision", l.revisions[shard]))
 		return
 	}
 	decoded, err := decodeLedger(kv.Value)
