--- a/internal/platform/platformtest/memory.go
+++ b/internal/platform/platformtest/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -27,6 +28,52 @@
 	changed   chan struct{}
 	fault     Fault
 	calls     int
+	// restores is the number of times that the store has come back from a copy.
+	restores int64
+}
+
+// Copy is an older state of a Memory, from which it can be restored.
+type Copy struct {
+	revision int64
+	items    map[string]platform.KeyValue
+	history  []platform.WatchUpdate
+	leases   map[platform.LeaseID]memoryLease
+}
+
+// Copy returns a copy of the present state.
+func (m *Memory) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := Copy{
+		revision: m.revision, items: maps.Clone(m.items), history: slices.Clone(m.history),
+		leases: make(map[platform.LeaseID]memoryLease, len(m.leases)),
+	}
+	for id, l := range m.leases {
+		c.leases[id] = *l
+	}
+	return c
+}
+
+// Restore replaces the state by that of a copy: later changes and leases are lost, and
+// their revisions are given out again. The leases of the copy start anew.
+func (m *Memory) Restore(c Copy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.restores++
+	m.revision, m.items, m.history = c.revision, maps.Clone(c.items), slices.Clone(c.history)
+	m.leases = make(map[platform.LeaseID]*memoryLease, len(c.leases))
+	for id, l := range c.leases {
+		m.leases[id] = &memoryLease{ttl: l.ttl, expires: m.now().Add(l.ttl)}
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Generation returns 1 plus the number of times that the store has been restored.
+func (m *Memory) Generation() platform.Generation {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return platform.Generation(1 + m.restores)
 }
 
 // Fault is a fault to inject into the calls of a Memory.
@@ -286,7 +333,7 @@
 	if m.fault.Err != nil {
 		return []platform.WatchUpdate{{Err: m.fault.Err}}, m.changed, m.revision
 	}
-	if from != 0 && from <= m.compacted {
+	if from != 0 && (from <= m.compacted || from > m.revision+1) {
 		return []platform.WatchUpdate{{Err: platform.ErrCompacted}}, m.changed, m.revision
 	}
 	var out []platform.WatchUpdate
