platform: order the revisions of a restored store by generation and number

Cause: revisions were compared as if they only went up. A restored store counts from the revision of its copy again, so reads and changes were left out as older, a watch went on from a number that had been given out twice, and a compare could match another change. Change: the store's interface promises revisions that increase across restores. A revision holds the generation, which each answer tells, above the number; in the first generation it is the number as before.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -69,6 +69,10 @@
 	}
 }
 
+// Generation implements Store. The protocol does not tell whether a cluster was restored,
+// so a restore must be run with a higher start revision (etcdutl --bump-revision).
+func (c *client) Generation() Generation { return FirstGeneration }
+
 func (c *client) Get(ctx context.Context, key string) (KeyValue, int64, error) {
 	ctx, _, cancel := c.callContext(ctx)
 	defer cancel()
--- a/internal/platform/generation.go
+++ b/internal/platform/generation.go
@@ -7,6 +7,37 @@
 // revisions increase; in the next one they start again from that of the copy.
 type Generation int64
 
+// FirstGeneration is the generation of a store that has never been restored. A store that
+// does not report its generation counts as being in the first one.
+const FirstGeneration Generation = 1
+
+const (
+	// numberBits is the number of bits of a revision that hold its number within the
+	// generation; at 400 changes a second they last for 87 years.
+	numberBits = 40
+	maxNumber  = 1<<numberBits - 1
+	// MaxGeneration is the highest generation that a revision can hold.
+	MaxGeneration Generation = 1<<(63-numberBits) - 1
+)
+
+// ComposeRevision returns the revision with a number within a generation. Every revision
+// of a generation is higher than those of the generations before, and in the first
+// generation a revision is its number.
+func ComposeRevision(g Generation, number int64) int64 {
+	if number <= 0 {
+		return number
+	}
+	return int64(max(g, FirstGeneration)-FirstGeneration)<<numberBits | min(number, maxNumber)
+}
+
+// SplitRevision returns the generation of a revision and its number within it.
+func SplitRevision(revision int64) (Generation, int64) {
+	if revision <= 0 {
+		return FirstGeneration, revision
+	}
+	return Generation(revision>>numberBits) + FirstGeneration, revision & maxNumber
+}
+
 // GenerationTracker holds the newest generation that the answers of a store have shown.
 // It is safe for concurrent use.
 type GenerationTracker struct {
@@ -37,9 +68,9 @@
 	}
 }
 
-// Newest returns the newest generation, 0 if no answer has shown one.
+// Newest returns the newest generation, FirstGeneration if no answer has shown one.
 func (t *GenerationTracker) Newest() Generation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.newest
+	return max(t.newest, FirstGeneration)
 }
--- a/internal/platform/platformtest/memory.go
+++ b/internal/platform/platformtest/memory.go
@@ -28,8 +28,9 @@
 	changed   chan struct{}
 	fault     Fault
 	calls     int
-	// restores is the number of times that the store has come back from a copy.
-	restores int64
+	// generation is 1 plus the number of times that the store has come back from a copy.
+	// Revisions are kept as their numbers within it.
+	generation platform.Generation
 }
 
 // Copy is an older state of a Memory, from which it can be restored.
@@ -59,7 +60,7 @@
 func (m *Memory) Restore(c Copy) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.restores++
+	m.generation++
 	m.revision, m.items, m.history = c.revision, maps.Clone(c.items), slices.Clone(c.history)
 	m.leases = make(map[platform.LeaseID]*memoryLease, len(c.leases))
 	for id, l := range c.leases {
@@ -69,11 +70,20 @@
 	m.changed = make(chan struct{})
 }
 
-// Generation returns 1 plus the number of times that the store has been restored.
+// Generation implements platform.Store: it is 1 plus the number of restores.
 func (m *Memory) Generation() platform.Generation {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return platform.Generation(1 + m.restores)
+	return m.generation
+}
+
+// composed returns the revision with a number of the present generation.
+func (m *Memory) composed(number int64) int64 { return platform.ComposeRevision(m.generation, number) }
+
+// reported returns an item as it is reported to callers.
+func (m *Memory) reported(kv platform.KeyValue) platform.KeyValue {
+	kv.ModRevision = m.composed(kv.ModRevision)
+	return kv
 }
 
 // Fault is a fault to inject into the calls of a Memory.
@@ -98,7 +108,7 @@
 		now = time.Now
 	}
 	return &Memory{
-		now: now, revision: 1, items: map[string]platform.KeyValue{},
+		now: now, revision: 1, generation: platform.FirstGeneration, items: map[string]platform.KeyValue{},
 		leases: map[platform.LeaseID]*memoryLease{}, changed: make(chan struct{}),
 	}
 }
@@ -121,8 +131,9 @@
 func (m *Memory) Compact(revision int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.compacted = max(m.compacted, revision)
-	m.history = slices.DeleteFunc(m.history, func(u platform.WatchUpdate) bool { return u.Revision <= revision })
+	_, number := platform.SplitRevision(revision)
+	m.compacted = max(m.compacted, number)
+	m.history = slices.DeleteFunc(m.history, func(u platform.WatchUpdate) bool { return u.Revision <= number })
 }
 
 // beginCall counts a call, deletes expired leases and returns the injected error. The
@@ -177,7 +188,7 @@
 	if !ok {
 		kv.Key = key
 	}
-	return kv, m.revision, nil
+	return m.reported(kv), m.composed(m.revision), nil
 }
 
 // List implements platform.Store.
@@ -190,11 +201,11 @@
 	var out []platform.KeyValue
 	for key, kv := range m.items {
 		if strings.HasPrefix(key, prefix) {
-			out = append(out, kv)
+			out = append(out, m.reported(kv))
 		}
 	}
 	slices.SortFunc(out, func(a, b platform.KeyValue) int { return strings.Compare(a.Key, b.Key) })
-	return out, m.revision, nil
+	return out, m.composed(m.revision), nil
 }
 
 // ListStale implements platform.Store. The result is always current.
@@ -227,7 +238,7 @@
 	if m.fault.LoseAnswers {
 		return 0, platform.ErrOutcomeUnknown
 	}
-	return m.revision, nil
+	return m.composed(m.revision), nil
 }
 
 // validate returns the error with which the store rejects a transaction, if any.
@@ -237,8 +248,8 @@
 	for _, c := range txn.Compares {
 		kv := m.items[c.Key]
 		kv.Key = c.Key
-		current = append(current, kv)
-		conflict = conflict || kv.ModRevision != c.ModRevision
+		current = append(current, m.reported(kv))
+		conflict = conflict || m.composed(kv.ModRevision) != c.ModRevision
 	}
 	if conflict {
 		return &platform.ConflictError{Current: current}
@@ -313,7 +324,7 @@
 					return
 				}
 			}
-			next = current + 1
+			next = current
 			select {
 			case <-changed:
 			case <-time.After(progressInterval):
@@ -325,31 +336,34 @@
 	return updates, nil
 }
 
-// updatesSince returns the changes since a revision followed by a progress update, a
-// channel that is closed on the next change, and the current revision.
+// updatesSince returns the changes from a revision on followed by a progress update, a
+// channel that is closed on the next change, and the revision that follows.
 func (m *Memory) updatesSince(prefix string, from int64) ([]platform.WatchUpdate, <-chan struct{}, int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	next := m.composed(m.revision + 1)
 	if m.fault.Err != nil {
-		return []platform.WatchUpdate{{Err: m.fault.Err}}, m.changed, m.revision
+		return []platform.WatchUpdate{{Err: m.fault.Err}}, m.changed, next
 	}
-	if from != 0 && (from <= m.compacted || from > m.revision+1) {
-		return []platform.WatchUpdate{{Err: platform.ErrCompacted}}, m.changed, m.revision
+	generation, number := platform.SplitRevision(from)
+	if from != 0 && (generation != m.generation || number <= m.compacted || number > m.revision+1) {
+		return []platform.WatchUpdate{{Err: platform.ErrCompacted}}, m.changed, next
 	}
 	var out []platform.WatchUpdate
 	for _, u := range m.history {
 		var events []platform.Event
 		for _, e := range u.Events {
 			if strings.HasPrefix(e.Key, prefix) {
+				e.KeyValue = m.reported(e.KeyValue)
 				events = append(events, e)
 			}
 		}
-		if u.Revision >= from && len(events) > 0 {
-			out = append(out, platform.WatchUpdate{Revision: u.Revision, Events: events})
+		if u.Revision >= number && len(events) > 0 {
+			out = append(out, platform.WatchUpdate{Revision: m.composed(u.Revision), Events: events})
 		}
 	}
-	out = append(out, platform.WatchUpdate{Revision: m.revision, RequestedAt: time.Now()})
-	return out, m.changed, m.revision
+	out = append(out, platform.WatchUpdate{Revision: m.composed(m.revision), RequestedAt: time.Now()})
+	return out, m.changed, next
 }
 
 // Close implements platform.Store.
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -22,7 +22,7 @@
 	// ErrConflict means that a compare of the transaction failed.
 	ErrConflict = errors.New("platform store: compare failed")
 	// ErrCompacted means that a watch starts at a revision that the store has
-	// already compacted.
+	// already compacted, or that belongs to an earlier generation.
 	ErrCompacted = errors.New("platform store: revision compacted")
 	// ErrLeaseNotFound means that the lease expired or was revoked.
 	ErrLeaseNotFound = errors.New("platform store: lease not found")
@@ -97,7 +97,13 @@
 
 // Store is the platform's key-value store. All methods may be called
 // concurrently and respect the context's deadline.
+//
+// Revisions increase, also across generations; see ComposeRevision. A compare with a
+// revision of an earlier generation fails, because the store may have given the same
+// number to another change since. A lease may end with its generation.
 type Store interface {
+	// Generation returns the newest generation that the store's answers have shown.
+	Generation() Generation
 	// Get returns a key, with ModRevision 0 if absent, and the store's revision.
 	Get(ctx context.Context, key string) (KeyValue, int64, error)
 	// List returns all keys with a prefix in ascending order, and the store's
@@ -108,7 +114,7 @@
 	// that need revisions to be monotonic.
 	ListStale(ctx context.Context, prefix string) ([]KeyValue, int64, error)
 	// Txn applies a transaction and returns its revision. Errors:
-	// ErrConflict, ErrUnavailable, ErrOutcomeUnknown, ErrTooLarge,
+	// ErrConflict, with the current state of the keys only if the store was asked, ErrUnavailable, ErrOutcomeUnknown, ErrTooLarge,
 	// ErrLeaseNotFound.
 	Txn(ctx context.Context, txn Txn) (int64, error)
 	// GrantLease creates a lease.
