leadership: spread the first reads of the closed terms over a third of the interval

Seen: TestReadsOfHostsThatStartTogetherAreSpread failed once on this machine, on code that does not touch it: 195 hosts, first read after 15.8 s. Change: they are drawn from a third of it.

--- a/internal/leadership/runner.go
+++ b/internal/leadership/runner.go
@@ -250,10 +250,12 @@
 
 // readInterval returns the time until the next read of the store by this host. It is
 // random, so that the reads of the hosts are spread, also when they started together.
+// The first reads are denser: with the mean interval, one fleet of 84 hosts in 2,600 had
+// none within maxStoreSilence.
 func readInterval(fleet int, first bool) time.Duration {
 	mean := time.Duration(max(1, fleet)) * fleetReadInterval
 	if first {
-		return rand.N(mean)
+		return rand.N(mean / 3)
 	}
 	return mean/2 + rand.N(mean)
 }
