quota: hold allocations after the store was restored

Cause: the ledgers are believed as they are read. In a restored store they hold allocations of some time ago: a host that had raised its own since is recorded with less than it uses, and another host took the rest; a host that starts took what it had long given up. Change: after a restore every host reads the ledgers, goes on with what it had and records that again, and raises nothing until allocations that are not recorded again have ended (25 s, 80 s in a large fleet); loans between hosts go on. A process that starts takes over only allocations written in the present generation until a host has recorded that the generation is settled.

--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,10 @@
 dev: build ## Run a complete deployment in one process for development.
 	bin/bramleylever dev
 
-# SKIP_TESTS (a pattern of test names) and E2E_FLAGS are passed to the tests; CI uses
-# them to skip the tests listed in KNOWN-RED.txt.
-SKIP_TESTS ?=
+# E2E_FLAGS is passed to the end-to-end tests; CI uses it to skip the tests listed
+# in KNOWN-RED.txt.
 test:
-	go test -count=1 -v -skip '$(SKIP_TESTS)' $$(go list ./... | grep -v '/internal/e2e$$')
+	go test -count=1 -v $$(go list ./... | grep -v '/internal/e2e$$')
 	go test -count=1 -v ./internal/e2e $(E2E_FLAGS)
 
 race:
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -90,6 +90,8 @@
 	fraction float64
 	// recordedEqual says that the stored allocation is marked as an equal one.
 	recordedEqual bool
+	// unrecorded says that the store may have lost the record of the allocation.
+	unrecorded bool
 	// initialTarget is the fraction to allocate before there is any demand.
 	initialTarget float64
 	// renewedAt is when the last successful write of the fraction was sent.
@@ -145,9 +147,10 @@
 }
 
 // confirm records that the host was registered at the given time. An allocation that
-// has expired meanwhile stays expired.
+// has expired meanwhile stays expired, and one that the store may have lost has to be
+// recorded first.
 func (a *account) confirm(at, now time.Time) {
-	if !a.expired(now) && at.After(a.confirmedAt) {
+	if !a.unrecorded && !a.expired(now) && at.After(a.confirmedAt) {
 		a.confirmedAt = at
 	}
 }
@@ -243,7 +246,7 @@
 		a.retryAfter = exhaustedRetryAfter
 	}
 	a.fraction, a.renewedAt, a.confirmedAt, a.recordedEqual = fraction, sent, sent, equal
-	a.refusedSinceWrite, a.initialTarget = false, 0
+	a.refusedSinceWrite, a.initialTarget, a.unrecorded = false, 0, false
 }
 
 // initialAllocation returns the fraction to allocate before the demand is known.
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"hash/fnv"
 	"time"
+
+	"github.com/bramleylever/bramleylever/internal/platform"
 )
 
 const (
@@ -33,6 +35,9 @@
 	// Equal says that the allocation is one of the equal ones of a large fleet,
 	// whose time limits are longer.
 	Equal bool `json:"equal,omitempty"`
+	// Generation is the generation of the store in which the allocation was written,
+	// omitted in the first one.
+	Generation platform.Generation `json:"generation,omitempty"`
 }
 
 // ledger is the document of one shard: the allocations by account and host.
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -100,6 +100,7 @@
 	lastWrite   time.Time
 	lastRenewal time.Time
 	storeLost   bool
+	store       restoredState
 }
 
 // NewLimiter returns a limiter without allocations; Run restores and renews them.
@@ -112,6 +113,7 @@
 	}
 	l := &Limiter{options: o, now: time.Now, accounts: map[string]*account{}, renewals: renewalTracker{}, restored: make(chan struct{})}
 	l.started = l.now()
+	l.store.generation = platform.FirstGeneration
 	l.startupPhase = time.Duration(xxhash.Sum64String(o.Host) % uint64(renewCheckInterval))
 	l.lastRenewal = l.started.Add(-l.startupPhase)
 	l.writes = metrics.GetOrRegisterCounter("quota.writes_count", o.Registry)
@@ -200,8 +202,16 @@
 			return
 		case <-ticker.C:
 		}
-		if shards := l.dueShards(); shards != 0 {
-			l.write(ctx, shards)
-		}
+		l.tick(ctx)
+	}
+}
+
+// tick writes what is due.
+func (l *Limiter) tick(ctx context.Context) {
+	if !l.followGeneration(ctx) {
+		return
+	}
+	if shards := l.dueShards(); shards != 0 {
+		l.write(ctx, shards)
 	}
 }
--- a/internal/quota/persist.go
+++ b/internal/quota/persist.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"strconv"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,19 +28,16 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked := l.now()
-	items, _, err := l.options.Store.List(ctx, Prefix)
-	if err != nil {
+	if err := l.readLedgers(ctx); err != nil {
 		l.options.Log.Warn("could not read the quota allocations", zap.String(logging.FieldStep, "read holdings"), zap.Error(err))
 		return
 	}
-	for _, item := range items {
-		l.applyDocument(item)
-	}
+	onlyGeneration := l.startInGeneration(asked)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for shard := range l.ledgers {
 		for name, allocations := range l.ledgers[shard] {
-			if own, ok := allocations[l.options.Host]; ok {
+			if own, ok := allocations[l.options.Host]; ok && own.Generation >= onlyGeneration {
 				a := l.account(name)
 				// Other hosts may be about to reclaim the allocation, so it is marked as due
 				// for renewal.
@@ -57,8 +53,8 @@
 
 // applyDocument applies a ledger document read from the store.
 func (l *Limiter) applyDocument(kv platform.KeyValue) {
-	shard, err := strconv.Atoi(strings.TrimPrefix(kv.Key, Prefix))
-	if err != nil || shard < 0 || shard >= shardCount {
+	shard, ok := shardFromKey(kv.Key)
+	if !ok {
 		return
 	}
 	if kv.ModRevision < l.revisions[shard] {
@@ -71,12 +67,17 @@
 		l.options.Log.Error("could not decode a quota ledger; ignoring it", zap.String("key", kv.Key), zap.Error(err))
 		return
 	}
-	l.ledgers[shard], l.revisions[shard] = decoded, kv.ModRevision
+	l.setLedger(shard, decoded, kv.ModRevision)
+}
+
+// setLedger replaces the known ledger of a shard.
+func (l *Limiter) setLedger(shard int, known ledger, revision int64) {
+	l.ledgers[shard], l.revisions[shard] = known, revision
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, a := range l.accounts {
 		if shardOf(name) == shard {
-			a.allocations = decoded[name]
+			a.allocations = known[name]
 		}
 	}
 }
@@ -128,10 +129,12 @@
 // case if it is too small, otherwise only if renew is set.
 func (l *Limiter) mustWrite(name string, a *account, renew bool, now time.Time) bool {
 	switch {
-	case a.needsUrgentWrite(now):
+	case a.needsUrgentWrite(now) && l.mayRaise(now):
 		return true
 	case !renew:
 		return false
+	case a.unrecorded:
+		return true
 	case a.fraction > 0 && !l.mayAllocate(name):
 		return true
 	}
@@ -222,9 +225,9 @@
 		}
 		target := 0.0
 		if l.mayAllocate(name) {
-			target = a.targetFraction(next[shard].allocatedToOthers(name, l.options.Host), now)
+			target = l.target(name, a, next[shard], now)
 		}
-		next[shard].set(name, l.options.Host, allocation{Fraction: target, Sequence: l.sequence, Equal: a.equal})
+		next[shard].set(name, l.options.Host, l.recordedAllocation(target, a.equal))
 		changes = append(changes, change{name, target, a.equal})
 		a.refill(now)
 		a.fraction = min(a.fraction, target)
@@ -233,6 +236,32 @@
 	return changes
 }
 
+// target returns the fraction of an account's limit to allocate to this host. The caller
+// holds the lock.
+func (l *Limiter) target(name string, a *account, known ledger, now time.Time) float64 {
+	if a.unrecorded && !a.expired(now) {
+		// What other hosts have recorded may be older than what they use.
+		return a.fraction
+	}
+	target := a.targetFraction(known.allocatedToOthers(name, l.options.Host), now)
+	switch {
+	case l.mayRaise(now):
+		return target
+	case a.expired(now):
+		return 0
+	}
+	return min(target, a.fraction)
+}
+
+// recordedAllocation returns the entry of this host in a ledger.
+func (l *Limiter) recordedAllocation(fraction float64, equal bool) allocation {
+	a := allocation{Fraction: fraction, Sequence: l.sequence, Equal: equal}
+	if l.store.generation > platform.FirstGeneration {
+		a.Generation = l.store.generation
+	}
+	return a
+}
+
 // addAccounts adds accounts that had no operation yet, with an initial allocation.
 func (l *Limiter) addAccounts(now time.Time) {
 	if now.Sub(l.started) < startupDelay+l.startupPhase {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -98,11 +98,8 @@
 func (f *fleet) step(d time.Duration, cut map[int]bool) {
 	f.now = f.now.Add(d)
 	for i, l := range f.limiters {
-		if cut[i] {
-			continue
-		}
-		if shards := l.dueShards(); shards != 0 {
-			l.write(context.Background(), shards)
+		if !cut[i] {
+			l.tick(context.Background())
 		}
 	}
 }
