catalog: tell other hosts the generation of revisions

A host that follows others never got a change of a part that was empty before and after a restore, and counted as up to date when a host confirmed it that had not heard of the restore. Between two builds, revisions with and without generation were not comparable. Cause: hosts told each other bare numbers; the replica of a part was kept if its entries were equal, so that its revision stayed in the earlier generation; confirmations were taken from any host with a lower revision. Change: messages carry generation and number (the number where it was before). A build that tells no generation is taken to mean the present one unless this host has seen a restore. Replicas start anew with each generation, and only hosts of the same generation confirm each other. The conversion stands once, in catalog; relay and leadership pass it on.

--- a/internal/catalog/exchange.go
+++ b/internal/catalog/exchange.go
@@ -63,8 +63,10 @@
 			continue
 		}
 		const roundUp = time.Millisecond - 1
+		generation, number := platform.SplitRevision(c.Revision)
 		out = append(out, &peerv1.CatalogConfirmation{
-			Part: partToProto(p), Revision: c.Revision, StoreAgeMs: uint32((c.StoreAge + roundUp) / time.Millisecond),
+			Part: partToProto(p), Revision: number, Generation: int64(generation),
+			StoreAgeMs: uint32((c.StoreAge + roundUp) / time.Millisecond),
 		})
 	}
 	return out
@@ -81,7 +83,10 @@
 		if !ok {
 			continue
 		}
-		confirmation := revision.Confirmation{Revision: c.GetRevision(), StoreAge: time.Duration(c.GetStoreAgeMs()) * time.Millisecond}
+		confirmation := revision.Confirmation{
+			Revision: e.follower.peerRevision(c.GetGeneration(), c.GetRevision()),
+			StoreAge: time.Duration(c.GetStoreAgeMs()) * time.Millisecond,
+		}
 		if e.follower.ConfirmByPeer(p, sent, confirmation) {
 			e.fetch(ctx, h, p)
 		}
@@ -109,14 +114,15 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	request := &peerv1.FetchCatalogRequest{Part: partToProto(p), After: e.follower.Confirmation(p).Revision}
+	generation, number := platform.SplitRevision(e.follower.Confirmation(p).Revision)
+	request := &peerv1.FetchCatalogRequest{Part: partToProto(p), After: number, Generation: int64(generation)}
 	reply, err := peerv1.NewCatalogClient(conn).FetchCatalog(ctx, request)
 	if err != nil {
 		e.log.Info("could not fetch catalog changes", zap.String(logging.FieldStep, "fetch catalog"),
 			zap.String(logging.FieldPeer, h.Name), zap.Error(err))
 		return
 	}
-	e.follower.Apply(p, updateFromProto(reply))
+	e.follower.Apply(p, e.follower.updateFromProto(reply))
 }
 
 // Run announces new changes to the hosts of the same failure domain while this host
@@ -142,7 +148,7 @@
 // announce tells the other hosts of the failure domain the newest revisions.
 func (e *Exchange) announce(ctx context.Context, revisions Revisions) {
 	request := &peerv1.AnnounceCatalogRequest{
-		Host: e.self.Name, Revisions: &peerv1.CatalogRevisions{Operator: revisions.Operator, Servers: revisions.Servers},
+		Host: e.self.Name, Revisions: revisionsToProto(revisions),
 	}
 	slots := make(chan struct{}, maxAnnouncements)
 	var group sync.WaitGroup
@@ -179,7 +185,8 @@
 	if !ok {
 		return nil, status.Errorf(codes.InvalidArgument, "part: %d is not known", request.GetPart())
 	}
-	return updateToProto(s.exchange.follower.Since(p, request.GetAfter())), nil
+	f := s.exchange.follower
+	return updateToProto(f.Since(p, f.peerRevision(request.GetGeneration(), request.GetAfter()))), nil
 }
 
 // AnnounceCatalog implements the gRPC service.
@@ -192,70 +199,13 @@
 		if h.Name != request.GetHost() {
 			continue
 		}
-		known := e.follower.Revisions()
-		if request.GetRevisions().GetOperator() > known.Operator {
+		known, announced := e.follower.Revisions(), e.follower.revisionsFromProto(request.GetRevisions())
+		if announced.Operator > known.Operator {
 			recovery.Go("fetch catalog", func() { e.fetch(context.Background(), h, OperatorPart) })
 		}
-		if request.GetRevisions().GetServers() > known.Servers {
+		if announced.Servers > known.Servers {
 			recovery.Go("fetch catalog", func() { e.fetch(context.Background(), h, ServersPart) })
 		}
 	}
 	return &peerv1.AnnounceCatalogReply{}, nil
 }
-
-func partToProto(p Part) peerv1.CatalogPart {
-	if p == OperatorPart {
-		return peerv1.CatalogPart_CATALOG_PART_OPERATOR
-	}
-	return peerv1.CatalogPart_CATALOG_PART_SERVERS
-}
-
-func partFromProto(p peerv1.CatalogPart) (Part, bool) {
-	switch p {
-	case peerv1.CatalogPart_CATALOG_PART_OPERATOR:
-		return OperatorPart, true
-	case peerv1.CatalogPart_CATALOG_PART_SERVERS:
-		return ServersPart, true
-	}
-	return 0, false
-}
-
-func eventToProto(item platform.KeyValue, deleted bool) *peerv1.CatalogEvent {
-	return &peerv1.CatalogEvent{Key: item.Key, Value: item.Value, ModRevision: item.ModRevision, Deleted: deleted}
-}
-
-func eventFromProto(e *peerv1.CatalogEvent) platform.Event {
-	return platform.Event{
-		KeyValue: platform.KeyValue{Key: e.GetKey(), Value: e.GetValue(), ModRevision: e.GetModRevision()}, Deleted: e.GetDeleted(),
-	}
-}
-
-func updateToProto(u Update) *peerv1.FetchCatalogReply {
-	reply := &peerv1.FetchCatalogReply{SnapshotRevision: u.SnapshotRevision}
-	for _, item := range u.Entries {
-		reply.Entries = append(reply.Entries, eventToProto(item, false))
-	}
-	for _, c := range u.Changes {
-		change := &peerv1.CatalogChange{Previous: c.Previous, Revision: c.Revision}
-		for _, event := range c.Body {
-			change.Events = append(change.Events, eventToProto(event.KeyValue, event.Deleted))
-		}
-		reply.Changes = append(reply.Changes, change)
-	}
-	return reply
-}
-
-func updateFromProto(reply *peerv1.FetchCatalogReply) Update {
-	u := Update{SnapshotRevision: reply.GetSnapshotRevision()}
-	for _, e := range reply.GetEntries() {
-		u.Entries = append(u.Entries, eventFromProto(e).KeyValue)
-	}
-	for _, c := range reply.GetChanges() {
-		change := revision.Change[[]platform.Event]{Previous: c.GetPrevious(), Revision: c.GetRevision()}
-		for _, e := range c.GetEvents() {
-			change.Body = append(change.Body, eventFromProto(e))
-		}
-		u.Changes = append(u.Changes, change)
-	}
-	return u
-}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -45,6 +45,8 @@
 
 	relaying Relaying
 	started  time.Time
+	// initialGeneration is the generation of the store at the first read.
+	initialGeneration atomic.Int64
 
 	current  atomic.Pointer[Snapshot]
 	operator *subscription
--- a/internal/catalog/peers.go
+++ b/internal/catalog/peers.go
@@ -80,6 +80,10 @@
 	if c.Revision > s.replica.Revision() {
 		return true
 	}
+	if !sameGeneration(c.Revision, s.replica.Revision()) {
+		// The store that confirmed that host is not the one of this host's entries.
+		return false
+	}
 	before := s.replica.Status(f.now()).StoreAge
 	if s.replica.ConfirmByPeer(f.now(), sent, c) && s.replica.Status(f.now()).StoreAge != before {
 		s.confirmedAt = f.now().Add(-s.replica.Status(f.now()).StoreAge)
@@ -87,6 +91,12 @@
 	return false
 }
 
+func sameGeneration(a, b int64) bool {
+	generationA, _ := platform.SplitRevision(a)
+	generationB, _ := platform.SplitRevision(b)
+	return generationA == generationB
+}
+
 // Update is what a host sends to another one that lacks changes of a part: the
 // changes, or all entries at a revision.
 type Update struct {
--- a/internal/catalog/subscription.go
+++ b/internal/catalog/subscription.go
@@ -173,7 +173,7 @@
 // it. The caller holds the lock.
 func (s *subscription) adoptRead(state entries, newest, asOf int64) {
 	known := s.replica.Revision()
-	if known > 0 && maps.EqualFunc(state, s.replica.State(), sameRevision) {
+	if known > 0 && sameGeneration(known, asOf) && maps.EqualFunc(state, s.replica.State(), sameRevision) {
 		return
 	}
 	if newest <= known || newest == 0 {
@@ -326,6 +326,8 @@
 	}
 	s.applying.Lock()
 	defer s.applying.Unlock()
+	generation, _ := platform.SplitRevision(asOf)
+	s.follower.initialGeneration.CompareAndSwap(0, int64(generation))
 	fresh := s.lacks(asOf)
 	s.log.Info("catalog read", zap.Int64(logging.FieldRevision, asOf), zap.Int64("known_revision", s.knownRevision()),
 		zap.Int("entries", len(items)), zap.Bool("applied", fresh))
--- a/internal/gatewayd/assemble.go
+++ b/internal/gatewayd/assemble.go
@@ -57,11 +57,11 @@
 	c.pool = connpool.New(connpool.Config{Dialer: o.Dialer, IdleTime: idleTime, Registry: o.Registry})
 	c.router = relay.NewRouter(relay.Options{
 		Self: o.Host, Pool: c.pool, Peers: c.peers, Hosts: c.registry.Hosts, Catalog: c.follower.Snapshot,
-		Revisions: c.follower.Revisions, Hint: c.follower.Hint, Reachability: c.detector.peers, Log: d.log, Registry: o.Registry,
+		Revisions: c.follower.RevisionsForPeers, Hint: c.follower.HintFromPeer, Reachability: c.detector.peers, Log: d.log, Registry: o.Registry,
 	})
 	c.leaders = leadership.New(leadership.Options{
 		Self: o.Host, Store: o.Store, Peers: c.peers, Hosts: c.registry.Hosts, Counted: c.registry.Counted,
-		Revisions: c.follower.Revisions, Hint: c.follower.Hint, Catalog: c.exchange, Log: d.log, Registry: o.Registry,
+		Revisions: c.follower.RevisionsForPeers, Hint: c.follower.HintFromPeer, Catalog: c.exchange, Log: d.log, Registry: o.Registry,
 		DemoteHere: func(ctx context.Context, id string, epoch uint64) error { return c.gateway.Demote(ctx, id, epoch) },
 	})
 	c.registry.SetAlive(c.leaders.HostAlive)
--- a/internal/leadership/runner.go
+++ b/internal/leadership/runner.go
@@ -52,8 +52,8 @@
 	Counted func() []hosts.Host
 	// Revisions returns the catalog revisions that this host knows, and Hint takes
 	// those that another host knows.
-	Revisions func() catalog.Revisions
-	Hint      func(catalog.Revisions)
+	Revisions func() *peerv1.CatalogRevisions
+	Hint      func(*peerv1.CatalogRevisions)
 	// Catalog exchanges changes of the catalog with other hosts.
 	Catalog *catalog.Exchange
 	// DemoteHere asks an instance, over this host's connections, to become a replica.
@@ -219,7 +219,7 @@
 	defer cancel()
 	members, membersHash := r.core.Members()
 	request := &peerv1.HeartbeatRequest{
-		Closed: closedToProto(r.core.ClosedTerms()), Revisions: revisionsToProto(r.options.Revisions()),
+		Closed: closedToProto(r.core.ClosedTerms()), Revisions: r.options.Revisions(),
 		MembersHash: membersHash,
 	}
 	sent, requested := r.now(), time.Now()
@@ -231,7 +231,7 @@
 	r.answeredAt = r.now()
 	r.mu.Unlock()
 	r.core.Merge(sent, r.now(), heartbeatFromProto(reply, members))
-	r.options.Hint(revisionsFromProto(reply.GetRevisions()))
+	r.options.Hint(reply.GetRevisions())
 	r.options.Catalog.Confirm(callers, h, requested, reply.GetCatalog())
 }
 
--- a/internal/leadership/service.go
+++ b/internal/leadership/service.go
@@ -9,7 +9,6 @@
 	"google.golang.org/grpc/status"
 
 	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
-	"github.com/bramleylever/bramleylever/internal/catalog"
 )
 
 // service implements the gRPC service on a Runner.
@@ -27,7 +26,7 @@
 func (s service) Heartbeat(_ context.Context, request *peerv1.HeartbeatRequest) (*peerv1.HeartbeatReply, error) {
 	r := s.runner
 	r.core.MergeClosed(closedFromProto(request.GetClosed()))
-	r.options.Hint(revisionsFromProto(request.GetRevisions()))
+	r.options.Hint(request.GetRevisions())
 	reply := heartbeatToProto(r.core.Heartbeat(r.now()), request.GetMembersHash(), r.options.Revisions())
 	reply.Catalog = r.options.Catalog.Confirmations()
 	return reply, nil
@@ -71,14 +70,6 @@
 	return out
 }
 
-func revisionsToProto(r catalog.Revisions) *peerv1.CatalogRevisions {
-	return &peerv1.CatalogRevisions{Operator: r.Operator, Servers: r.Servers}
-}
-
-func revisionsFromProto(r *peerv1.CatalogRevisions) catalog.Revisions {
-	return catalog.Revisions{Operator: r.GetOperator(), Servers: r.GetServers()}
-}
-
 // unknownAge stands for a store age that is not known.
 const unknownAge = ^uint32(0)
 
@@ -98,10 +89,10 @@
 
 // heartbeatToProto encodes a heartbeat for a host that counts the hosts with the given
 // hash. If these are the same as the sender's, the ages need no names.
-func heartbeatToProto(h Heartbeat, membersHash uint64, revisions catalog.Revisions) *peerv1.HeartbeatReply {
+func heartbeatToProto(h Heartbeat, membersHash uint64, revisions *peerv1.CatalogRevisions) *peerv1.HeartbeatReply {
 	reply := &peerv1.HeartbeatReply{
 		Closed: closedToProto(h.Closed), StoreAgeMs: unknownAge, Confirms: h.Confirms,
-		Revisions: revisionsToProto(revisions),
+		Revisions: revisions,
 	}
 	for name, leader := range h.Leaders {
 		reply.Leaders = append(reply.Leaders, &peerv1.Leader{Service: name, Epoch: leader.Epoch, ServerId: leader.Instance})
--- a/internal/leadership/service_test.go
+++ b/internal/leadership/service_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
-	"github.com/bramleylever/bramleylever/internal/catalog"
 )
 
 // Guards against a heartbeat that makes a confirmation look younger than it is, and
@@ -30,7 +29,7 @@
 		receiver := NewCore("h39")
 		receiver.SetMembers(list)
 		order, membersHash := receiver.Members()
-		reply := heartbeatToProto(sender.Heartbeat(now), membersHash, catalog.Revisions{})
+		reply := heartbeatToProto(sender.Heartbeat(now), membersHash, nil)
 		h := heartbeatFromProto(reply, order)
 		for name, age := range sent {
 			got, ok := h.Ages[hash(name)]
--- a/internal/relay/convert.go
+++ b/internal/relay/convert.go
@@ -4,7 +4,6 @@
 	"time"
 
 	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
-	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/statement"
 	"github.com/bramleylever/bramleylever/position"
@@ -23,14 +22,6 @@
 	}
 }
 
-func toRevisions(r catalog.Revisions) *peerv1.CatalogRevisions {
-	return &peerv1.CatalogRevisions{Operator: r.Operator, Servers: r.Servers}
-}
-
-func fromRevisions(r *peerv1.CatalogRevisions) catalog.Revisions {
-	return catalog.Revisions{Operator: r.GetOperator(), Servers: r.GetServers()}
-}
-
 func toStatement(s *statement.Statement) *peerv1.RelayStatement {
 	return &peerv1.RelayStatement{
 		Id: s.ID, Kind: uint32(s.Kind), ReadOnly: s.ReadOnly, Writes: s.Writes, Name: s.Name, Value: s.Value,
--- a/internal/relay/position.go
+++ b/internal/relay/position.go
@@ -43,13 +43,13 @@
 		return position.Position{}, 0, outcome.Wrap("ask for position", owner.Name, err)
 	}
 	reply, err := peerv1.NewRelayClient(conn).Position(ctx, &peerv1.PositionRequest{
-		Service: primary.Service, Revisions: toRevisions(r.options.Revisions()),
+		Service: primary.Service, Revisions: r.options.Revisions(),
 	})
 	if err != nil {
 		r.checkUnanswered(owner, err)
 		return position.Position{}, 0, outcome.Wrap("ask for position", owner.Name, err)
 	}
-	r.options.Hint(fromRevisions(reply.GetRevisions()))
+	r.options.Hint(reply.GetRevisions())
 	return fromPosition(reply.GetPosition()), time.Duration(reply.GetAgeUs()) * time.Microsecond, nil
 }
 
@@ -73,12 +73,12 @@
 	r := s.router
 	ctx, cancel := context.WithTimeout(ctx, samplerTimeout)
 	defer cancel()
-	r.options.Hint(fromRevisions(request.GetRevisions()))
+	r.options.Hint(request.GetRevisions())
 	p, age, err := r.sampler.LeaderPosition(ctx, request.GetService())
 	if err != nil {
 		return nil, status.Error(codes.NotFound, err.Error())
 	}
 	return &peerv1.PositionReply{
-		Position: toPosition(p), AgeUs: age.Microseconds(), Revisions: toRevisions(r.options.Revisions()),
+		Position: toPosition(p), AgeUs: age.Microseconds(), Revisions: r.options.Revisions(),
 	}, nil
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,10 +11,12 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
 	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/hosts"
@@ -84,8 +86,8 @@
 	// sampled is the hosts whose sampler returned a position.
 	sampled []string
 	// revisions is what each host knows, and hints the last hint that it received.
-	revisions map[string]catalog.Revisions
-	hints     map[string]catalog.Revisions
+	revisions map[string]*peerv1.CatalogRevisions
+	hints     map[string]*peerv1.CatalogRevisions
 }
 
 type dialer struct {
@@ -126,7 +128,7 @@
 var server = &catalog.Server{ID: "i1", Service: "x", Domain: "d0", Started: 7}
 
 func newFleet() *fleet {
-	f := &fleet{links: map[string][]*fakeLink{}, revisions: map[string]catalog.Revisions{}, hints: map[string]catalog.Revisions{}}
+	f := &fleet{links: map[string][]*fakeLink{}, revisions: map[string]*peerv1.CatalogRevisions{}, hints: map[string]*peerv1.CatalogRevisions{}}
 	snapshot := &catalog.Snapshot{
 		Config: &catalog.Config{}, Servers: map[string]*catalog.Server{"i1": server}, Complete: true,
 	}
@@ -141,8 +143,8 @@
 			Pool:  connpool.New(connpool.Config{Dialer: dialer{f, name}, IdleTime: time.Minute, Registry: registry}),
 			Peers: peers, Hosts: func() []hosts.Host { return f.hosts },
 			Catalog:   func() *catalog.Snapshot { return snapshot },
-			Revisions: func() catalog.Revisions { return f.revisions[name] },
-			Hint: func(r catalog.Revisions) {
+			Revisions: func() *peerv1.CatalogRevisions { return f.revisions[name] },
+			Hint: func(r *peerv1.CatalogRevisions) {
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				f.hints[name] = r
@@ -368,14 +370,14 @@
 	It("exchanges catalog revisions with the other host", func() {
 		f := newFleet()
 		for i, r := range f.routers {
-			f.revisions[r.options.Self] = catalog.Revisions{Operator: int64(10 + i), Servers: int64(20 + i)}
+			f.revisions[r.options.Self] = &peerv1.CatalogRevisions{Operator: int64(10 + i), Servers: int64(20 + i), OperatorGeneration: 1, ServersGeneration: 2}
 		}
 		at, err := f.do(2, "a")
 		Expect(err).NotTo(HaveOccurred())
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		Expect(f.hints["h2"]).To(Equal(f.revisions[at]))
-		Expect(f.hints[at]).To(Equal(f.revisions["h2"]))
+		Expect(proto.Equal(f.hints["h2"], f.revisions[at])).To(BeTrue())
+		Expect(proto.Equal(f.hints[at], f.revisions["h2"])).To(BeTrue())
 	})
 
 	// Guards against a host that is avoided as an owner because the leader does not answer
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -61,7 +61,7 @@
 		}
 		request.Open = &peerv1.LeaseOpen{
 			ServerId: h.server.ID, Started: h.server.Started, Account: h.account,
-			Revisions: toRevisions(h.router.options.Revisions()),
+			Revisions: h.router.options.Revisions(),
 		}
 	}
 	timer := time.AfterFunc(time.Until(deadline)+replyMargin, h.cancel)
@@ -89,7 +89,7 @@
 func (h *remoteHandle) handleReply(reply *peerv1.LeaseReply) (connpool.Answer, error) {
 	answer := fromReply(reply)
 	if reply.GetRevisions() != nil {
-		h.router.options.Hint(fromRevisions(reply.GetRevisions()))
+		h.router.options.Hint(reply.GetRevisions())
 	}
 	if reply.GetLeaving() {
 		h.router.ownerDraining(h.owner)
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -58,8 +58,8 @@
 	Catalog func() *catalog.Snapshot
 	// Revisions returns the catalog revisions that this host knows, and Hint takes those
 	// that another host knows. Hosts exchange them in their requests and replies.
-	Revisions func() catalog.Revisions
-	Hint      func(catalog.Revisions)
+	Revisions func() *peerv1.CatalogRevisions
+	Hint      func(*peerv1.CatalogRevisions)
 	// Reachability records which hosts answer.
 	Reachability *reachability.Tracker
 	Log          *zap.Logger
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -41,7 +41,7 @@
 	if first.GetOpen() == nil {
 		return status.Error(codes.InvalidArgument, "the first request of a lease must name an instance")
 	}
-	r.options.Hint(fromRevisions(first.GetOpen().GetRevisions()))
+	r.options.Hint(first.GetOpen().GetRevisions())
 	if r.draining.Load() {
 		return stream.Send(&peerv1.LeaseReply{Leaving: true, NotRun: true, Error: "host is stopping"})
 	}
@@ -61,7 +61,7 @@
 		if err != nil {
 			reply = failureReply(&answer, err)
 		}
-		reply.Revisions = toRevisions(r.options.Revisions())
+		reply.Revisions = r.options.Revisions()
 		if err := stream.Send(reply); err != nil {
 			return err
 		}
