catalog: do not go back to what a restored store shows of servers and evacuations

Seen: in tests a server that had announced that it leaves, or had left, was used again, a role was looked for at an instance that had lost it, and an evacuated failure domain was used again, until operators and instances had written what the store had lost. Cause: the first full read after the restore was applied as if it were news. One log line for each.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -106,6 +106,8 @@
 	// Started is the start time in Unix milliseconds. It tells two processes of an
 	// instance with the same id apart; 0 if not reported.
 	Started int64
+	// Sequence counts the writes of the process to its entry; 0 if not reported.
+	Sequence int64
 	// Revision is the store's revision of the entry.
 	Revision int64
 	// RoleRevision is the store's revision at which the role was first seen.
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -127,25 +127,29 @@
 	for ctx.Err() == nil {
 		wait(ctx, nil, expiryInterval)
 		f.mu.Lock()
-		if f.view.expire(f.now()) {
+		now := f.now()
+		expired := f.view.expire(now)
+		if f.expireRestored(now) || expired {
 			f.publish()
 		}
 		f.mu.Unlock()
 	}
 }
 
-// replace applies a full read of the keys below a prefix, as they were when asked.
-func (f *Follower) replace(prefix string, items []platform.KeyValue, asked time.Time) {
+// replace applies a full read of the keys below a prefix at a revision, as they were when
+// asked.
+func (f *Follower) replace(prefix string, items []platform.KeyValue, revision int64, asked time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	restored := f.view.observeGeneration(prefix, revision)
 	present := map[string]bool{}
 	for _, item := range items {
 		present[item.Key] = true
-		f.apply(platform.Event{KeyValue: item})
+		f.apply(platform.Event{KeyValue: item}, restored)
 	}
 	for _, key := range f.deletableKeys(prefix) {
 		if !present[key] {
-			f.apply(platform.Event{KeyValue: platform.KeyValue{Key: key}, Deleted: true})
+			f.apply(platform.Event{KeyValue: platform.KeyValue{Key: key}, Deleted: true}, restored)
 		}
 	}
 	if !asked.IsZero() {
@@ -167,7 +171,9 @@
 		return keys
 	}
 	for domain := range f.view.evacuated {
-		keys = append(keys, f.layout.EvacuationPrefix+domain)
+		if _, kept := f.view.evacuationMissing[domain]; !kept {
+			keys = append(keys, f.layout.EvacuationPrefix+domain)
+		}
 	}
 	return keys
 }
@@ -177,7 +183,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, event := range update.Events {
-		f.apply(event)
+		f.apply(event, false)
 	}
 	if !update.RequestedAt.IsZero() {
 		f.view.confirm(prefix, update.RequestedAt)
@@ -193,16 +199,22 @@
 }
 
 // apply applies one change. A value that cannot be decoded is logged and left out, and
-// does not affect other entries.
-func (f *Follower) apply(event platform.Event) {
+// does not affect other entries. restored says that it is what a full read shows first
+// after the store was restored.
+func (f *Follower) apply(event platform.Event, restored bool) {
 	switch {
 	case event.Key == f.layout.ConfigKey:
 		f.applyConfig(event)
 	case strings.HasPrefix(event.Key, f.layout.EvacuationPrefix):
 		domain := strings.TrimPrefix(event.Key, f.layout.EvacuationPrefix)
+		if restored && event.Deleted {
+			f.log.Info("evacuation kept: the restored store does not show it", zap.String(logging.FieldDomain, domain))
+			f.view.missEvacuation(domain, f.now())
+			return
+		}
 		f.applyEvacuation(domain, event.Deleted)
 	case strings.HasPrefix(event.Key, f.layout.ServerPrefix):
-		f.applyServer(strings.TrimPrefix(event.Key, f.layout.ServerPrefix), event)
+		f.applyServer(strings.TrimPrefix(event.Key, f.layout.ServerPrefix), event, restored)
 	}
 }
 
@@ -226,6 +238,7 @@
 }
 
 func (f *Follower) applyEvacuation(domain string, ended bool) {
+	delete(f.view.evacuationMissing, domain)
 	if f.view.evacuated[domain] == !ended {
 		return
 	}
@@ -237,8 +250,9 @@
 	f.view.evacuated[domain] = true
 }
 
-func (f *Follower) applyServer(id string, event platform.Event) {
+func (f *Follower) applyServer(id string, event platform.Event, restored bool) {
 	if event.Deleted {
+		delete(f.view.outdated, id)
 		f.log.Info("backend server entry removed", zap.String(logging.FieldInstance, id))
 		f.view.lapseServer(id, f.now())
 		return
@@ -250,6 +264,10 @@
 		return
 	}
 	server.Revision = event.ModRevision
+	if f.view.leaveOut(&server, restored, f.now()) {
+		f.logLeftOut(&server)
+		return
+	}
 	f.logServer(&server)
 	f.view.putServer(server, f.drainTime(), f.now())
 }
--- a/internal/catalog/peers.go
+++ b/internal/catalog/peers.go
@@ -127,7 +127,7 @@
 	defer s.applying.Unlock()
 	if u.SnapshotRevision > 0 {
 		if s.adopt(u) {
-			f.replace(s.prefix, u.Entries, time.Time{})
+			f.replace(s.prefix, u.Entries, u.SnapshotRevision, time.Time{})
 		}
 		return
 	}
--- a/internal/catalog/restored_test.go
+++ b/internal/catalog/restored_test.go
@@ -39,6 +39,16 @@
 		Expect(f.operator.readAll(ctx)).To(Succeed())
 		Expect(f.servers.readAll(ctx)).To(Succeed())
 	}
+	// expire lets time pass and ends what is bridged for that long.
+	expire := func(f *Follower, d time.Duration) {
+		now := f.now().Add(d)
+		f.now = func() time.Time { return now }
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.view.expire(now)
+		f.expireRestored(now)
+		f.publish()
+	}
 	// exchange passes a part from one follower to another as it goes over the wire.
 	exchange := func(p Part, to, from *Follower) {
 		reply := updateToProto(from.Since(p, to.Confirmation(p).Revision))
@@ -50,6 +60,97 @@
 		put("s/i1", Server{Service: "x", Started: 10, Sequence: 1})
 	})
 
+	// Guards against work for a server that has left: the copy shows it as before it
+	// announced that it leaves.
+	It("do not use a server again that had announced that it leaves", func() {
+		f := newFollower()
+		read(f)
+		older := memory.Copy()
+		put("s/i1", Server{Service: "x", Started: 10, Sequence: 4, Draining: true})
+		read(f)
+		Expect(f.Snapshot().Servers["i1"].Draining).To(BeTrue())
+		memory.Restore(older)
+		read(f)
+		Expect(f.Snapshot().Servers["i1"].Draining).To(BeTrue())
+		put("s/i1", Server{Service: "x", Started: 10, Sequence: 5, Draining: true})
+		read(f)
+		Expect(f.Snapshot().Servers["i1"].Sequence).To(Equal(int64(5)))
+	})
+
+	// Guards against the same for a server whose entry was removed in the time that the
+	// store has lost.
+	It("do not use a server again that had left", func() {
+		f := newFollower()
+		read(f)
+		older := memory.Copy()
+		put("s/i1", Server{Service: "x", Started: 10, Sequence: 4, Draining: true})
+		read(f)
+		remove("s/i1")
+		read(f)
+		Expect(f.Snapshot().Servers).To(BeEmpty())
+		memory.Restore(older)
+		read(f)
+		Expect(f.Snapshot().Servers).To(BeEmpty())
+		read(f)
+		Expect(f.Snapshot().Servers).To(BeEmpty())
+	})
+
+	// Guards against a primary that is looked for at an instance that lost the role in the
+	// time that the store has lost.
+	It("do not take an earlier role for a new one", func() {
+		put("s/i1", Server{Service: "x", Started: 10, Sequence: 2, Role: Primary})
+		put("s/i2", Server{Service: "x", Started: 11, Sequence: 2})
+		f := newFollower()
+		read(f)
+		older := memory.Copy()
+		put("s/i2", Server{Service: "x", Started: 11, Sequence: 3, Role: Primary})
+		put("s/i1", Server{Service: "x", Started: 10, Sequence: 3})
+		read(f)
+		memory.Restore(older)
+		read(f)
+		Expect(f.Snapshot().Primary("x").ID).To(Equal("i2"))
+		put("s/i1", Server{Service: "x", Started: 10, Sequence: 5, Role: Primary})
+		read(f)
+		Expect(f.Snapshot().Primary("x").ID).To(Equal("i1"))
+	})
+
+	// Guards against a server that is left out for good because its clock went back before
+	// it started again.
+	It("use an entry that looks outdated if it stays", func() {
+		f := newFollower()
+		read(f)
+		older := memory.Copy()
+		put("s/i1", Server{Service: "x", Started: 12, Sequence: 9, Slots: 9})
+		read(f)
+		memory.Restore(older)
+		read(f)
+		Expect(f.Snapshot().Servers["i1"].Slots).To(Equal(9))
+		expire(f, outdatedGrace)
+		Expect(f.Snapshot().Servers["i1"].Started).To(Equal(int64(10)))
+	})
+
+	// Guards against a failure domain that is used again although its evacuation was
+	// acknowledged, and against one that stays evacuated although that was taken back.
+	It("keep an evacuation until it is written again or stays missing", func() {
+		f := newFollower()
+		read(f)
+		older := memory.Copy()
+		put("c/evacuated/d1", struct{}{})
+		put("c/evacuated/d2", struct{}{})
+		read(f)
+		memory.Restore(older)
+		read(f)
+		read(f)
+		Expect(f.Snapshot().Evacuated).To(HaveLen(2))
+		put("c/evacuated/d1", struct{}{})
+		read(f)
+		expire(f, LapseGrace)
+		Expect(f.Snapshot().Evacuated).To(Equal(map[string]bool{"d1": true}))
+		remove("c/evacuated/d1")
+		read(f)
+		Expect(f.Snapshot().Evacuated).To(BeEmpty())
+	})
+
 	// Guards against a key that is accepted again because the copy holds a configuration
 	// from before it was withdrawn.
 	It("keep the newer configuration and take the next one", func() {
--- a/internal/catalog/subscription.go
+++ b/internal/catalog/subscription.go
@@ -333,7 +333,7 @@
 		zap.Int("entries", len(items)), zap.Bool("applied", fresh))
 	s.recordRead(items, asOf, asked)
 	if fresh {
-		s.follower.replace(s.prefix, items, asked)
+		s.follower.replace(s.prefix, items, asOf, asked)
 	}
 	return nil
 }
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/bramleylever/bramleylever/internal/platform"
 )
 
 // LapseGrace is how long a server stays in the view after its entry disappeared from
@@ -21,10 +23,25 @@
 	evacuated map[string]bool
 	// confirmedAt holds, by prefix, when the store last confirmed the keys.
 	confirmedAt map[string]time.Time
+
+	// The fields below bridge a restore of the store.
+
+	// generations holds, by prefix, the generation of the newest full read.
+	generations map[string]platform.Generation
+	// removed holds the servers that have left lately, and outdated the entries that are
+	// left out.
+	removed  map[string]removedServer
+	outdated map[string]outdatedServer
+	// evacuationMissing is since when a restored store does not show an evacuation.
+	evacuationMissing map[string]time.Time
 }
 
 func newView() *view {
-	return &view{servers: map[string]*Server{}, evacuated: map[string]bool{}, confirmedAt: map[string]time.Time{}}
+	return &view{
+		servers: map[string]*Server{}, evacuated: map[string]bool{}, confirmedAt: map[string]time.Time{},
+		generations: map[string]platform.Generation{}, removed: map[string]removedServer{},
+		outdated: map[string]outdatedServer{}, evacuationMissing: map[string]time.Time{},
+	}
 }
 
 func (v *view) confirm(prefix string, at time.Time) { v.confirmedAt[prefix] = at }
@@ -88,7 +105,7 @@
 		return
 	}
 	if old.Draining {
-		delete(v.servers, id)
+		v.removeServer(old, now)
 		return
 	}
 	lapsed := *old
@@ -100,9 +117,9 @@
 // reports whether there was one.
 func (v *view) expire(now time.Time) bool {
 	removed := false
-	for id, server := range v.servers {
+	for _, server := range v.servers {
 		if !server.Lapsed.IsZero() && now.Sub(server.Lapsed) >= LapseGrace {
-			delete(v.servers, id)
+			v.removeServer(server, now)
 			removed = true
 		}
 	}
