hosts: register under a new lease after the store was restored

Seen: in a test a host kept its lease as valid although the key of a duty that was bound to it was lost, so that another host could take the same duty. Cause: the copy still held the lease, so its renewals succeeded. Change: the lease remembers the generation of the store that granted it; in a later one it is not valid, and the host registers under a new lease and reads the catalog again. Result: the spec fails before and passes.

--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -22,8 +22,10 @@
 // Prefix is the key prefix of the registered hosts; each value is a Host in JSON.
 const Prefix = "bramleylever/hosts/"
 
+// LeaseTTL is the time to live of the lease to which all keys of a host are bound.
+const LeaseTTL = 3 * time.Second
+
 const (
-	leaseTTL           = 3 * time.Second
 	keepAliveInterval  = 1 * time.Second
 	retryDelay         = 250 * time.Millisecond
 	minRefreshInterval = 3 * time.Second
@@ -67,7 +69,9 @@
 	mu    sync.Mutex
 	id    platform.LeaseID
 	clock *lease.Clock
-	known map[string]hostState
+	// generation is that of the store that granted the lease.
+	generation platform.Generation
+	known      map[string]hostState
 	// renewedAt is when the last successful renewal of the registration was sent.
 	renewedAt time.Time
 	// reads is the number of times that the other hosts have been read.
@@ -99,13 +103,25 @@
 // it, stays in use while it is alive. It must be called before Run.
 func (r *Registry) SetAlive(f func(name string) bool) { r.alive = f }
 
-// Lease returns the host's lease and its remaining validity.
+// Lease returns the host's lease and its remaining validity. A store that was restored
+// may have lost the lease, or keys that were bound to it, so the lease is not valid any
+// more even if the store still knows it.
 func (r *Registry) Lease() (platform.LeaseID, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.generation != r.store.Generation() {
+		return r.id, 0
+	}
 	return r.id, r.clock.Remaining(r.now())
 }
 
+// restored reports whether the store was restored since it granted the lease.
+func (r *Registry) restored() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.id != 0 && r.generation != r.store.Generation()
+}
+
 // refresh reads the registered hosts.
 func (r *Registry) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -284,10 +300,15 @@
 	}
 	sent := r.now()
 	ttl, err := r.store.KeepAlive(ctx, id)
-	if errors.Is(err, platform.ErrLeaseNotFound) {
+	restored := r.restored()
+	if errors.Is(err, platform.ErrLeaseNotFound) || err == nil && restored {
 		r.clearLease()
-		r.log.Info("host lease lost", zap.Int64("lease", int64(id)))
-		return r.register(ctx)
+		r.log.Info("host lease lost", zap.Int64("lease", int64(id)), zap.Bool("store_restored", restored))
+		err = r.register(ctx)
+		if restored {
+			r.reconnected()
+		}
+		return err
 	}
 	if err != nil {
 		return err
@@ -303,7 +324,8 @@
 // that an earlier process of this host may have left.
 func (r *Registry) register(ctx context.Context) error {
 	sent := r.now()
-	id, err := r.store.GrantLease(ctx, leaseTTL)
+	generation := r.store.Generation()
+	id, err := r.store.GrantLease(ctx, LeaseTTL)
 	if err != nil {
 		return err
 	}
@@ -317,9 +339,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.id = id
+	r.id, r.generation = id, generation
 	r.clock = lease.New(lease.DefaultMargin)
-	r.clock.Renew(sent, leaseTTL)
+	r.clock.Renew(sent, LeaseTTL)
 	r.renewedAt = sent
 	r.log.Info("host registered", zap.Int64("lease", int64(id)))
 	return nil
--- a/internal/hosts/registry_test.go
+++ b/internal/hosts/registry_test.go
@@ -79,3 +79,47 @@
 		Expect(registry.Known()).To(BeTrue())
 	})
 })
+
+var _ = Describe("Registry in a store that was restored from an older copy", func() {
+	// Guards against a host that goes on with its lease because the copy still holds it,
+	// although the keys that it had bound to the lease since are lost: another host could
+	// take the same duty.
+	It("registers again under a new lease", func() {
+		memory := platformtest.NewMemory(nil)
+		registry := New(Host{Name: "self", Domain: "d0"}, memory, zap.NewNop())
+		reconnected := 0
+		registry.OnReconnected(func() { reconnected++ })
+		ctx := context.Background()
+		Expect(registry.renewOrRegister(ctx)).To(Succeed())
+		older := memory.Copy()
+		Expect(registry.renewOrRegister(ctx)).To(Succeed())
+		before, valid := registry.Lease()
+		Expect(valid).To(BeNumerically(">", 0))
+		memory.Restore(older)
+		_, valid = registry.Lease()
+		Expect(valid).To(BeZero())
+		Expect(registry.renewOrRegister(ctx)).To(Succeed())
+		after, valid := registry.Lease()
+		Expect(valid).To(BeNumerically(">", 0))
+		Expect(after).NotTo(Equal(before))
+		Expect(reconnected).To(Equal(1))
+		item, _, err := memory.Get(ctx, Prefix+"self")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(item.Lease).To(Equal(after))
+	})
+
+	// Guards against a host that is not found by the others, because the copy is from
+	// before it started.
+	It("registers again if the copy does not hold its lease", func() {
+		memory := platformtest.NewMemory(nil)
+		older := memory.Copy()
+		registry := New(Host{Name: "self", Domain: "d0"}, memory, zap.NewNop())
+		ctx := context.Background()
+		Expect(registry.renewOrRegister(ctx)).To(Succeed())
+		memory.Restore(older)
+		Expect(registry.renewOrRegister(ctx)).To(Succeed())
+		item, _, err := memory.Get(ctx, Prefix+"self")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(item.ModRevision).NotTo(BeZero())
+	})
+})
