leadership: closed terms survive a store that was restored from an older copy

Seen: in random histories a host used the leader of a term that had been closed, beside its successor: the store had come back without the record of the hand-over, and a host without a quorum, or one that had restarted, took what it read for complete. Cause: a read of the records was taken as proof of all closed terms, and what had been written was taken to stay. Change: a generation of the store counts only once it is settled. Every host records again the closed terms that the store lacks. A host that a quorum has confirmed since, or that has the closed terms of a quorum from their answers, settles the generation after the leases of hosts from before have ended (3.2 s); without either, after the 15 s for which confirmations can be in use. Heartbeats tell which generation is settled.

--- a/internal/leadership/core.go
+++ b/internal/leadership/core.go
@@ -22,6 +22,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bramleylever/bramleylever/internal/platform"
 	"github.com/bramleylever/bramleylever/lease"
 )
 
@@ -51,6 +52,8 @@
 	StoreAge time.Duration
 	// Leaders holds the newest leaders known to the sender, by service.
 	Leaders map[string]Leader
+	// Settled is the newest generation of the store that the sender knows to be settled.
+	Settled platform.Generation
 	// Confirms says that the sender knows the closed terms. Otherwise its heartbeat
 	// confirms nobody, itself included.
 	Confirms bool
@@ -80,8 +83,9 @@
 	leaders map[string]Leader
 	// storeRead is when a host last read the closed terms from the store; ownRead is
 	// when this host did.
-	storeRead time.Time
-	ownRead   time.Time
+	storeRead   time.Time
+	ownRead     time.Time
+	generations generations
 	// lostAt is when the lease was last found to have ended; zero while it is held.
 	lostAt time.Time
 
@@ -213,12 +217,29 @@
 	c.published.Store(&copied)
 }
 
-// RecordStoreRead records the closed terms that the store returned to a request that
-// was sent at the given time.
-func (c *Core) RecordStoreRead(sent, now time.Time, closed map[string]uint64) {
+// StoreRead is what the store returned to a request for the closed terms.
+type StoreRead struct {
+	// Sent is when the request was sent.
+	Sent time.Time
+	// Generation is that of the store, and Settled the newest one that it records as
+	// settled.
+	Generation platform.Generation
+	Settled    platform.Generation
+	Closed     map[string]uint64
+}
+
+// RecordStoreRead records a read of the closed terms. In a generation that is not settled
+// it adds closed terms but does not confirm that these are all.
+func (c *Core) RecordStoreRead(now time.Time, read StoreRead) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.merge(closed)
+	c.merge(read.Closed)
+	c.observeGeneration(read.Generation, now)
+	c.generations.settled = max(c.generations.settled, read.Settled)
+	if !c.generations.isSettled(read.Generation) || read.Generation < c.generations.newest {
+		return
+	}
+	sent := read.Sent
 	if sent.After(c.ownRead) {
 		c.ownRead = sent
 	}
@@ -253,7 +274,7 @@
 	h := Heartbeat{
 		Ages: map[uint32]time.Duration{}, Closed: maps.Clone(c.closed), Leaders: maps.Clone(c.leaders), StoreAge: -1,
 		Members: c.order, MembersHash: c.membersHash,
-		Confirms: !c.ownRead.IsZero(),
+		Settled: c.generations.settled, Confirms: !c.ownRead.IsZero(),
 	}
 	if !c.storeRead.IsZero() {
 		h.StoreAge = now.Sub(c.storeRead)
@@ -279,6 +300,7 @@
 	for service, leader := range h.Leaders {
 		c.addLeader(service, leader)
 	}
+	c.generations.settled = max(c.generations.settled, h.Settled)
 	if !h.Confirms {
 		return
 	}
--- a/internal/leadership/core_test.go
+++ b/internal/leadership/core_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/bramleylever/bramleylever/internal/platform"
 )
 
 const (
@@ -21,8 +23,13 @@
 	names  []string
 	cores  map[string]*Core
 	frozen map[string]time.Time
-	// stored holds the closed terms in the store.
-	stored  map[string]uint64
+	// stored holds the closed terms in the store, generation is that of the store, and
+	// settled the newest one that it records as settled.
+	stored     map[string]uint64
+	generation platform.Generation
+	settled    platform.Generation
+	// copied is an older copy of stored, or nil.
+	copied map[string]uint64
 	inbox   []delivery
 	closing *Closing
 	closer  string
@@ -40,6 +47,7 @@
 	s := &simulation{
 		guards: guards,
 		now:    time.Unix(1000, 0), cores: map[string]*Core{}, frozen: map[string]time.Time{}, stored: map[string]uint64{},
+		generation: platform.FirstGeneration,
 	}
 	for i := range hosts {
 		s.names = append(s.names, fmt.Sprintf("h%d", i))
@@ -104,7 +112,10 @@
 		if !s.guards.confirmsKnowing {
 			h.Confirms, h.Ages[hash(to)] = true, 0
 		}
-		s.deliver(back, from, func() { s.cores[from].Merge(sent, s.now, h) })
+		s.deliver(back, from, func() {
+			s.cores[from].Merge(sent, s.now, h)
+			s.cores[from].RecordAnswer(to, sent, h.Confirms)
+		})
 	})
 }
 
@@ -112,8 +123,11 @@
 	sent := s.now
 	// The read happens at the store, which is not frozen.
 	s.inbox = append(s.inbox, delivery{at: s.now.Add(there), action: func() {
-		read := maps.Clone(s.stored)
-		s.deliver(back, host, func() { s.cores[host].RecordStoreRead(sent, s.now, read) })
+		read := StoreRead{Sent: sent, Generation: s.generation, Settled: s.settled, Closed: maps.Clone(s.stored)}
+		if !s.guards.settledOnly {
+			read.Settled = read.Generation
+		}
+		s.deliver(back, host, func() { s.cores[host].RecordStoreRead(s.now, read) })
 	}})
 }
 
@@ -154,11 +168,15 @@
 	wait bool
 	// recorded says that the store holds the record before the closing.
 	recorded bool
+	// settledOnly says that reads of a restored store count only once its generation is
+	// settled, and recordedAgain that closed terms are recorded again in it.
+	settledOnly   bool
+	recordedAgain bool
 	// confirmsKnowing says that a host confirms only once it knows the closed terms.
 	confirmsKnowing bool
 }
 
-var allSafeguards = safeguards{closedSpread: true, wait: true, recorded: true, confirmsKnowing: true}
+var allSafeguards = safeguards{closedSpread: true, wait: true, recorded: true, confirmsKnowing: true, settledOnly: true, recordedAgain: true}
 
 // violation runs a random history and returns a host that used the leader after the
 // closing had ended, or "".
--- a/internal/leadership/handover.go
+++ b/internal/leadership/handover.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"strings"
 	"sync"
 	"time"
 
@@ -18,22 +16,6 @@
 	"github.com/bramleylever/bramleylever/internal/recovery"
 )
 
-// RecordPrefix is the key prefix of the hand-over records; the name of the service
-// follows. The value is a Record in JSON.
-const RecordPrefix = "bramleylever/promotion/handover/"
-
-// Record is what the store keeps of the last hand-over of a service.
-type Record struct {
-	// ClosedEpoch is the newest term that was closed.
-	ClosedEpoch uint64 `json:"closed_epoch"`
-	// Target is the instance whose promotion was to be ordered, and Token the fencing
-	// token of the order.
-	Target string `json:"target"`
-	Token  int64  `json:"token"`
-	// Answered says that the order was answered and will not be carried out late.
-	Answered bool `json:"answered,omitempty"`
-}
-
 // ErrNotClosed means that another host may still use the leader of the term.
 var ErrNotClosed = errors.New("another host may still use the leader")
 
@@ -46,32 +28,6 @@
 	maxCloseCalls = 32
 )
 
-// loadClosed reads the closed terms from the store.
-func (r *Runner) loadClosed(ctx context.Context) (map[string]uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	items, _, err := r.options.Store.List(ctx, RecordPrefix)
-	if err != nil {
-		return nil, err
-	}
-	closed := map[string]uint64{}
-	for _, item := range items {
-		var record Record
-		if err := json.Unmarshal(item.Value, &record); err != nil {
-			r.options.Log.Warn("could not decode a hand-over record; ignoring it", zap.String("key", item.Key), zap.Error(err))
-			continue
-		}
-		closed[strings.TrimPrefix(item.Key, RecordPrefix)] = record.ClosedEpoch
-	}
-	for service, epoch := range r.core.ClosedTerms() {
-		if closed[service] < epoch {
-			r.options.Log.Info("the store has no record of a closed term", zap.String(logging.FieldStep, "read closed terms"),
-				zap.String("service", service), zap.Uint64(logging.FieldTerm, epoch), zap.Uint64("recorded_term", closed[service]))
-		}
-	}
-	return closed, nil
-}
-
 // closeLocally makes this host stop using the leader of a term.
 func (r *Runner) closeLocally(service string, epoch uint64) {
 	if r.core.Close(service, epoch) {
--- a/internal/leadership/runner.go
+++ b/internal/leadership/runner.go
@@ -36,6 +36,11 @@
 	fleetReadInterval = 2 * time.Second
 	// urgentReadInterval is the time between two reads of a host without a quorum.
 	urgentReadInterval = 400 * time.Millisecond
+	// generationSpread is multiplied by the number of hosts to get the longest delay after
+	// which a host reads the closed terms in a new generation of the store, or settles
+	// it; maxGenerationSpread bounds it.
+	generationSpread    = 50 * time.Millisecond
+	maxGenerationSpread = 2 * time.Second
 	// lowRemaining is the remaining validity of the lease below which the host reads
 	// the store.
 	lowRemaining = confirmationTTL / 4
@@ -77,6 +82,9 @@
 	lastRead time.Time
 	nextRead time.Time
 	reading  bool
+	// settleAt is when this host settles the generation of the store unless another one
+	// has; zero while it may not.
+	settleAt time.Time
 	// answeredAt is when another host last answered a heartbeat.
 	answeredAt time.Time
 	// valid is whether the lease was held at the last tick.
@@ -153,6 +161,7 @@
 	now := r.now()
 	r.core.SetMembers(names(r.options.Counted()))
 	r.core.Tick(now)
+	r.followGeneration(now)
 	r.logTransition(now)
 	for _, h := range r.chooseNeighbors() {
 		recovery.Go("heartbeat", func() { r.ask(ctx, h) })
@@ -231,15 +240,36 @@
 	r.answeredAt = r.now()
 	r.mu.Unlock()
 	r.core.Merge(sent, r.now(), heartbeatFromProto(reply, members))
+	r.core.RecordAnswer(h.Name, sent, reply.GetConfirms())
 	r.options.Hint(reply.GetRevisions())
 	r.options.Catalog.Confirm(callers, h, requested, reply.GetCatalog())
 }
 
+// followGeneration schedules what a restored store requires: to record closed terms again
+// and to settle its generation.
+func (r *Runner) followGeneration(now time.Time) {
+	advanced := r.core.ObserveGeneration(r.options.Store.Generation(), now)
+	maySettle := r.core.MaySettle(now)
+	spread := min(maxGenerationSpread, time.Duration(max(1, len(r.options.Hosts())))*generationSpread)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at := now.Add(rand.N(spread)); advanced && r.nextRead.After(at) {
+		r.nextRead = at
+	}
+	switch {
+	case !maySettle:
+		r.settleAt = time.Time{}
+	case r.settleAt.IsZero():
+		r.settleAt = now.Add(rand.N(spread))
+	}
+}
+
 // startRead reports whether a read of the store is due, and marks it as running.
 func (r *Runner) startRead(now time.Time) bool {
 	urgent := r.core.Remaining(now) < lowRemaining
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	urgent = urgent || !r.settleAt.IsZero() && !now.Before(r.settleAt)
 	due := !now.Before(r.nextRead) || urgent && now.Sub(r.lastRead) >= urgentReadInterval
 	if r.reading || !due {
 		return false
@@ -274,9 +304,23 @@
 		r.lastRead = r.now()
 		r.nextRead = r.lastRead.Add(interval)
 	}()
-	sent := r.now()
-	closed, err := r.loadClosed(ctx)
+	stored, err := r.loadRecords(ctx)
+	if err != nil {
+		return
+	}
+	r.core.RecordStoreRead(r.now(), stored.StoreRead)
+	if stored.Generation <= platform.FirstGeneration {
+		return
+	}
+	err = r.restoreRecords(ctx, &stored)
 	if err == nil {
-		r.core.RecordStoreRead(sent, r.now(), closed)
+		err = r.settle(ctx, &stored)
+	}
+	if err != nil {
+		r.options.Log.Info("could not complete the records of a restored store", zap.String(logging.FieldStep, "record closed terms"), zap.Error(err))
 	}
 }
+
+// Settled reports whether duties may be taken: the store holds all closed terms, and no
+// duty that an earlier generation of it had granted is in use.
+func (r *Runner) Settled() bool { return r.core.Settled() }
--- a/internal/leadership/service.go
+++ b/internal/leadership/service.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/status"
 
 	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/platform"
 )
 
 // service implements the gRPC service on a Runner.
@@ -92,7 +93,7 @@
 func heartbeatToProto(h Heartbeat, membersHash uint64, revisions *peerv1.CatalogRevisions) *peerv1.HeartbeatReply {
 	reply := &peerv1.HeartbeatReply{
 		Closed: closedToProto(h.Closed), StoreAgeMs: unknownAge, Confirms: h.Confirms,
-		Revisions: revisions,
+		Revisions: revisions, SettledGeneration: int64(h.Settled),
 	}
 	for name, leader := range h.Leaders {
 		reply.Leaders = append(reply.Leaders, &peerv1.Leader{Service: name, Epoch: leader.Epoch, ServerId: leader.Instance})
@@ -129,6 +130,7 @@
 	h := Heartbeat{
 		Ages: make(map[uint32]time.Duration, len(reply.GetHosts())), Closed: closedFromProto(reply.GetClosed()),
 		Leaders: make(map[string]Leader, len(reply.GetLeaders())), StoreAge: -1, Confirms: reply.GetConfirms(),
+		Settled: platform.Generation(reply.GetSettledGeneration()),
 	}
 	for _, l := range reply.GetLeaders() {
 		h.Leaders[l.GetService()] = Leader{Instance: l.GetServerId(), Epoch: l.GetEpoch()}
--- a/internal/leadership/service_test.go
+++ b/internal/leadership/service_test.go
@@ -19,7 +19,7 @@
 	now := time.Unix(1000, 0)
 	sender := NewCore("h00")
 	sender.SetMembers(members)
-	sender.RecordStoreRead(now, now, map[string]uint64{"x": 3})
+	sender.RecordStoreRead(now, StoreRead{Sent: now, Closed: map[string]uint64{"x": 3}})
 	sent := map[string]time.Duration{}
 	for i, name := range members[1:30] {
 		sent[name] = time.Duration(i) * 67 * time.Millisecond
