promotion: report a suspicion again under each new lease

Seen: in a test a primary that no host reached was not replaced after the store had come back from an older copy; the same holds whenever a host's lease ends in an outage. Cause: a host wrote its suspicion once and took it to stay, but it is bound to the host's lease and goes with it, so that the suspicions never made up a quorum. Change: the host remembers the lease and writes the suspicion again under a new one.

--- a/internal/promotion/duty.go
+++ b/internal/promotion/duty.go
@@ -14,14 +14,15 @@
 )
 
 // recordSuspicion writes or withdraws this host's suspicion. The entry is bound to the
-// host's lease, so that the suspicion of a host that is gone does not count.
+// host's lease, so that the suspicion of a host that is gone does not count. It has to be
+// written again under each new lease.
 func (r *Runner) recordSuspicion(ctx context.Context, service string, state *serviceState, suspected string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	key := suspicionPrefix + service + "/" + r.options.Host
 	txn := platform.Txn{Deletes: []string{key}}
+	id, valid := r.options.Lease()
 	if suspected != "" {
-		id, valid := r.options.Lease()
 		value, err := json.Marshal(Suspicion{Host: r.options.Host, Domain: r.options.Domain, Server: suspected})
 		if err != nil || valid <= 0 {
 			return
@@ -33,7 +34,7 @@
 		zap.String("service", service), zap.String(logging.FieldInstance, suspected),
 		zap.String("suspected_before", state.reportedSuspect), zap.Error(err))
 	if err == nil {
-		state.reportedSuspect = suspected
+		state.reportedSuspect, state.reportedLease = suspected, id
 	}
 }
 
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -45,6 +45,8 @@
 	paused map[string]bool
 	fenced bool
 	terms  *fakeTerms
+	// leases holds the hosts' leases.
+	leases map[string]platform.LeaseID
 	// ranks holds the ranks of the hosts; 0 if it is not set.
 	ranks map[string]int
 }
@@ -135,7 +137,7 @@
 func newFakeFleet(hosts, sync int) *fakeFleet {
 	w := &fakeFleet{
 		now: time.Now(), received: map[string]position.Position{"p": at(100), "r1": at(90), "r2": at(95)},
-		failing: map[string]bool{}, paused: map[string]bool{}, fenced: true, terms: &fakeTerms{},
+		leases: map[string]platform.LeaseID{}, failing: map[string]bool{}, paused: map[string]bool{}, fenced: true, terms: &fakeTerms{},
 	}
 	w.memory = platformtest.NewMemory(func() time.Time { return w.now })
 	group := []*catalog.Server{
@@ -150,12 +152,11 @@
 	}
 	for i := range hosts {
 		name := fmt.Sprintf("h%d", i)
-		lease, err := w.memory.GrantLease(context.Background(), time.Hour)
-		Expect(err).NotTo(HaveOccurred())
+		w.renewLease(name)
 		r := New(Options{
 			Host: name, Domain: fmt.Sprintf("d%d", i%domains), Store: w.memory,
 			Catalog:  func() *catalog.Snapshot { return w.snapshot },
-			Lease:    func() (platform.LeaseID, time.Duration) { return lease, time.Hour },
+			Lease:    func() (platform.LeaseID, time.Duration) { return w.leases[name], time.Hour },
 			Hosts:    func() (int, int) { return hosts, domains },
 			Promoter: w, Inspector: w, Failing: func(*catalog.Server) bool { return w.failing[name] },
 			Terms: w.terms, LeaderEpoch: func(string) uint64 { return w.terms.leader }, FindLeader: func(string) bool { return false },
@@ -169,6 +170,21 @@
 	return w
 }
 
+// renewLease gives a host a new lease.
+func (w *fakeFleet) renewLease(host string) {
+	lease, err := w.memory.GrantLease(context.Background(), time.Hour)
+	Expect(err).NotTo(HaveOccurred())
+	w.leases[host] = lease
+}
+
+// restore makes the store come back from a copy, and the hosts register again.
+func (w *fakeFleet) restore(older platformtest.Copy) {
+	w.memory.Restore(older)
+	for host := range w.leases {
+		w.renewLease(host)
+	}
+}
+
 // run makes every host take a number of steps, one host after the other.
 func (w *fakeFleet) run(steps int) {
 	for range steps {
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -124,8 +124,11 @@
 
 // serviceState is the state of one service. It is used by one goroutine at a time.
 type serviceState struct {
-	busy            bool
+	busy bool
+	// reportedSuspect is the instance of this host's suspicion in the store, and
+	// reportedLease the lease to which the suspicion is bound.
 	reportedSuspect string
+	reportedLease   platform.LeaseID
 	missingSince    time.Time
 	// reason is why the primary is to be replaced, since reasonSince. turnDelay is how
 	// long this host waits before it acts on it.
@@ -312,7 +315,7 @@
 	if r.options.Failing(primary) {
 		suspected = primary.ID
 	}
-	if suspected != state.reportedSuspect {
+	if id, _ := r.options.Lease(); suspected != state.reportedSuspect || suspected != "" && id != state.reportedLease {
 		r.recordSuspicion(ctx, service, state, suspected)
 	}
 	if suspected == "" {
