promotion: duties and orders across a restore of the store

Seen: in tests, after the store had come back from an older copy, two hosts could hold the same duty, the fencing token of a new duty was lower than one in use (a platform with a fence then refuses every promotion until the revisions have caught up, one without obeys the older order), and an order whose record was lost could undo a newer one. Cause: a duty was held until its lease ends, whatever the store knows; the token is the revision of the duty; the record of an order was taken to stay. Change: a duty ends with its generation, and none is taken before the next one is settled, which is after the leases of the one before have ended.

--- a/internal/leadership/core_test.go
+++ b/internal/leadership/core_test.go
@@ -29,7 +29,7 @@
 	generation platform.Generation
 	settled    platform.Generation
 	// copied is an older copy of stored, or nil.
-	copied map[string]uint64
+	copied  map[string]uint64
 	inbox   []delivery
 	closing *Closing
 	closer  string
--- a/internal/promotion/duty.go
+++ b/internal/promotion/duty.go
@@ -39,10 +39,11 @@
 }
 
 // holdsDuty reports whether this host holds a duty and its lease lasts long enough for
-// an order.
+// an order. A duty ends with the generation of the store that granted it.
 func (r *Runner) holdsDuty(state *serviceState) bool {
 	id, valid := r.options.Lease()
-	return state.token != 0 && state.lease == id && valid > minLeaseValidity
+	generation, _ := platform.SplitRevision(state.token)
+	return state.token != 0 && generation == r.options.Store.Generation() && state.lease == id && valid > minLeaseValidity
 }
 
 // acquireDuty takes the duty for a service or confirms that this host still holds it.
@@ -53,7 +54,7 @@
 	id, valid := r.options.Lease()
 	state.token, state.orderedInstance = 0, ""
 	now := r.now()
-	if valid <= minLeaseValidity || now.Before(state.acquireAfter) {
+	if valid <= minLeaseValidity || now.Before(state.acquireAfter) || !r.options.Terms.Settled() {
 		return false
 	}
 	state.acquireAfter = now.Add(acquireInterval)
@@ -79,6 +80,7 @@
 			r.options.Log.Warn("could not learn of an earlier order", zap.String("service", service), zap.Error(err))
 			state.expectOrder(unknownTarget, 0, r.now())
 		}
+		r.expectLostOrder(service, state)
 	}
 	state.token, state.lease = revision, id
 	r.options.Log.Info("promotion duty taken", zap.String(logging.FieldDecision, "take_duty"),
--- a/internal/promotion/handover.go
+++ b/internal/promotion/handover.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/leadership"
 	"github.com/bramleylever/bramleylever/internal/logging"
 	"github.com/bramleylever/bramleylever/internal/platform"
@@ -30,6 +31,9 @@
 	CloseTerm(ctx context.Context, service string, epoch uint64) error
 	// Demote makes an instance a replica if it leads a term below the given one.
 	Demote(ctx context.Context, serverID string, epoch uint64) error
+	// Settled reports whether no duty is in use that an earlier generation of the store
+	// has granted.
+	Settled() bool
 }
 
 const (
@@ -158,6 +162,21 @@
 	s.pendingTarget, s.pendingToken, s.pendingUntil = target, token, now.Add(lateOrderTime)
 }
 
+// expectLostOrder makes this host wait for an order of which a restored store may have
+// lost the record: a term was closed for it, and no instance leads a newer one yet.
+func (r *Runner) expectLostOrder(service string, state *serviceState) {
+	closed := r.options.Terms.Closed(service)
+	_, proved := r.options.Terms.Leader(service)
+	if closed == 0 || max(proved, r.options.LeaderEpoch(service)) > closed {
+		return
+	}
+	generation, since := r.observeGeneration()
+	until := since.Add(hosts.LeaseTTL + lateOrderTime)
+	if generation > platform.FirstGeneration && r.now().Before(until) && until.After(state.pendingUntil) {
+		state.pendingTarget, state.pendingToken, state.pendingUntil = unknownTarget, 0, until
+	}
+}
+
 // adoptOrder learns from the store whether an earlier duty holder has ordered a
 // promotion that may still be carried out.
 func (r *Runner) adoptOrder(ctx context.Context, service string, state *serviceState) error {
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -60,10 +60,14 @@
 	// inUse makes CloseTerm fail, and undemotable makes Demote fail.
 	inUse       bool
 	undemotable bool
+	// unsettled says that duties of an earlier generation of the store may be in use.
+	unsettled bool
 	// events lists the calls in order.
 	events []string
 }
 
+func (f *fakeTerms) Settled() bool { return !f.unsettled }
+
 func (f *fakeTerms) Closed(string) uint64 { return f.closed }
 
 func (f *fakeTerms) Leader(string) (string, uint64) { return f.proved, f.leader }
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -120,6 +120,10 @@
 
 	mu       sync.Mutex
 	services map[string]*serviceState
+	// generation is the newest generation of the store that this host has seen, since
+	// generationSince.
+	generation      platform.Generation
+	generationSince time.Time
 }
 
 // serviceState is the state of one service. It is used by one goroutine at a time.
@@ -216,8 +220,19 @@
 	})
 }
 
+// observeGeneration returns the generation of the store and since when this host knows it.
+func (r *Runner) observeGeneration() (platform.Generation, time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if g := r.options.Store.Generation(); g != r.generation {
+		r.generation, r.generationSince = g, r.now()
+	}
+	return r.generation, r.generationSince
+}
+
 // step checks the primary of one service and replaces it if there is a reason.
 func (r *Runner) step(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot) {
+	r.observeGeneration()
 	primary := r.currentPrimary(snapshot, service)
 	reason := plannedReason(snapshot, primary)
 	if reason == NoReason {
