leadership: a generation is settled at once where the platform has a fence

Cause: no term is ever closed on such a platform, and the fence refuses what a holder from before still orders, so there is nothing to wait for. Change: there a generation counts as settled when it is read.

--- a/internal/gatewayd/assemble.go
+++ b/internal/gatewayd/assemble.go
@@ -63,6 +63,7 @@
 		Self: o.Host, Store: o.Store, Peers: c.peers, Hosts: c.registry.Hosts, Counted: c.registry.Counted,
 		Revisions: c.follower.RevisionsForPeers, Hint: c.follower.HintFromPeer, Catalog: c.exchange, Log: d.log, Registry: o.Registry,
 		DemoteHere: func(ctx context.Context, id string, epoch uint64) error { return c.gateway.Demote(ctx, id, epoch) },
+		Fenced:     func() bool { return d.Settings().Fenced },
 	})
 	c.registry.SetAlive(c.leaders.HostAlive)
 	d.relayCatalog(c)
--- a/internal/leadership/records_test.go
+++ b/internal/leadership/records_test.go
@@ -16,12 +16,12 @@
 
 // newLoneRunner returns the runner of a fleet of one host and a function that lets time
 // pass in ticks.
-func newLoneRunner(store platform.Store) (*Runner, func(time.Duration)) {
+func newLoneRunner(store platform.Store, fenced bool) (*Runner, func(time.Duration)) {
 	self := []hosts.Host{{Name: "h0"}}
 	now := time.Unix(1000, 0)
 	r := New(Options{
 		Self: "h0", Store: store, Hosts: func() []hosts.Host { return self }, Counted: func() []hosts.Host { return self },
-		Log: zap.NewNop(), Registry: metrics.NewRegistry(),
+		Fenced: func() bool { return fenced }, Log: zap.NewNop(), Registry: metrics.NewRegistry(),
 	})
 	r.now = func() time.Time { return now }
 	return r, func(d time.Duration) {
@@ -41,7 +41,7 @@
 func TestClosedTermsAreRecordedAgainInARestoredStore(t *testing.T) {
 	memory := platformtest.NewMemory(nil)
 	older := memory.Copy()
-	r, pass := newLoneRunner(memory)
+	r, pass := newLoneRunner(memory, false)
 	pass(time.Second)
 	value, err := json.Marshal(Record{ClosedEpoch: 4, Target: "i2", Token: 9})
 	if err != nil {
@@ -74,7 +74,7 @@
 func TestAProcessThatStartsInARestoredStoreWaitsUntilItIsSettled(t *testing.T) {
 	memory := platformtest.NewMemory(nil)
 	memory.Restore(memory.Copy())
-	r, pass := newLoneRunner(memory)
+	r, pass := newLoneRunner(memory, false)
 	pass(time.Second)
 	if r.Settled() || r.core.Confirms() {
 		t.Error("the process relies on a generation that is not settled")
@@ -83,9 +83,21 @@
 	if !r.Settled() || !r.core.Confirms() {
 		t.Error("the generation is not settled")
 	}
-	later, pass := newLoneRunner(memory)
+	later, pass := newLoneRunner(memory, false)
 	pass(tickInterval)
 	if !later.Settled() || !later.core.Confirms() {
 		t.Error("a process that starts later does not find the generation settled")
 	}
 }
+
+// Guards against writers that wait after a restore, although the platform's fence refuses
+// what a host of before may still order and no term is ever closed.
+func TestAGenerationIsSettledAtOnceOnAPlatformWithAFence(t *testing.T) {
+	memory := platformtest.NewMemory(nil)
+	memory.Restore(memory.Copy())
+	r, pass := newLoneRunner(memory, true)
+	pass(tickInterval)
+	if !r.Settled() || !r.core.Confirms() {
+		t.Error("the generation is not settled")
+	}
+}
--- a/internal/leadership/runner.go
+++ b/internal/leadership/runner.go
@@ -63,8 +63,12 @@
 	Catalog *catalog.Exchange
 	// DemoteHere asks an instance, over this host's connections, to become a replica.
 	DemoteHere func(ctx context.Context, serverID string, epoch uint64) error
-	Log        *zap.Logger
-	Registry   metrics.Registry
+	// Fenced says that the platform refuses promotion orders with an old fencing token,
+	// and that a primary loses its role when another one takes it. No term is closed
+	// there, so a restored store has lost none.
+	Fenced   func() bool
+	Log      *zap.Logger
+	Registry metrics.Registry
 }
 
 // Runner exchanges heartbeats with other hosts and closes terms.
@@ -308,8 +312,11 @@
 	if err != nil {
 		return
 	}
+	if r.options.Fenced() {
+		stored.Settled = stored.Generation
+	}
 	r.core.RecordStoreRead(r.now(), stored.StoreRead)
-	if stored.Generation <= platform.FirstGeneration {
+	if stored.Generation <= platform.FirstGeneration || r.options.Fenced() {
 		return
 	}
 	err = r.restoreRecords(ctx, &stored)
