--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -38,17 +38,20 @@
 	}
 }
 
+// putJSON writes a value as JSON.
+func putJSON(memory *platformtest.Memory, key string, value any) {
+	data, err := json.Marshal(value)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = memory.Txn(context.Background(), platform.Txn{Puts: []platform.Put{{Key: key, Value: data}}})
+	Expect(err).NotTo(HaveOccurred())
+}
+
 var _ = Describe("Follower", func() {
 	var memory *platformtest.Memory
 	var follower *Follower
 	ctx := context.Background()
 
-	put := func(key string, value any) {
-		data, err := json.Marshal(value)
-		Expect(err).NotTo(HaveOccurred())
-		_, err = memory.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: key, Value: data}}})
-		Expect(err).NotTo(HaveOccurred())
-	}
+	put := func(key string, value any) { putJSON(memory, key, value) }
 	remove := func(key string) {
 		_, err := memory.Txn(ctx, platform.Txn{Deletes: []string{key}})
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/catalog/peers_test.go
+++ b/internal/catalog/peers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -16,12 +15,7 @@
 var _ = Describe("Followers that follow each other", func() {
 	var memory *platformtest.Memory
 	ctx := context.Background()
-	put := func(key string, value any) {
-		data, err := json.Marshal(value)
-		Expect(err).NotTo(HaveOccurred())
-		_, err = memory.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: key, Value: data}}})
-		Expect(err).NotTo(HaveOccurred())
-	}
+	put := func(key string, value any) { putJSON(memory, key, value) }
 	// read returns a follower that has read the catalog once and watches nothing.
 	read := func() *Follower {
 		f := NewFollower(memory, testLayout(), func() time.Duration { return time.Second }, zap.NewNop())
--- a/internal/catalog/restored_test.go
+++ b/internal/catalog/restored_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -17,12 +16,7 @@
 var _ = Describe("Followers of a store that was restored from an older copy", func() {
 	var memory *platformtest.Memory
 	ctx := context.Background()
-	put := func(key string, value any) {
-		data, err := json.Marshal(value)
-		Expect(err).NotTo(HaveOccurred())
-		_, err = memory.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: key, Value: data}}})
-		Expect(err).NotTo(HaveOccurred())
-	}
+	put := func(key string, value any) { putJSON(memory, key, value) }
 	remove := func(key string) {
 		_, err := memory.Txn(ctx, platform.Txn{Deletes: []string{key}})
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -42,7 +42,8 @@
 		Use:   "platform",
 		Short: "Run a stand-in for the platform store",
 		Example: `  bramleylever standin platform --listen 127.0.0.1:2379 --faults 127.0.0.1:2378
-  curl -d '{"down": true}' http://127.0.0.1:2378/faults`,
+  curl -d '{"down": true}' http://127.0.0.1:2378/faults
+  curl -d lost_ms=9000 http://127.0.0.1:2378/restore`,
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			return runUntilSignal(func(ctx context.Context) error {
--- a/internal/leadership/restored_test.go
+++ b/internal/leadership/restored_test.go
@@ -85,36 +85,7 @@
 		return time.Duration(rapid.SampledFrom([]int{0, 1, 5, 40, 300, 2500}).Draw(t, "ms")) * time.Millisecond
 	})
 	for range rapid.IntRange(30, 160).Draw(t, "steps") {
-		switch rapid.IntRange(0, 12).Draw(t, "step") {
-		case 0, 1, 2, 3, 4:
-			from, to := host.Draw(t, "from"), host.Draw(t, "to")
-			if from != to {
-				s.pull(from, to, delay.Draw(t, "there"), delay.Draw(t, "back"))
-			}
-		case 5, 6:
-			s.complete(host.Draw(t, "reader"), delay.Draw(t, "there"), delay.Draw(t, "back"), restarts)
-		case 7:
-			if name := host.Draw(t, "restarted"); name != s.closer && (restarts || s.closing == nil) {
-				s.restart(name)
-			}
-		case 8:
-			name := host.Draw(t, "frozen")
-			s.frozen[name] = s.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "freeze")) * time.Millisecond)
-		case 9:
-			if name := host.Draw(t, "closer"); s.closing == nil && s.mayBegin(name) {
-				s.begin(name)
-			}
-		case 10:
-			if s.closing != nil {
-				s.requestClose(host.Draw(t, "asked"), delay.Draw(t, "there"), delay.Draw(t, "back"))
-			}
-		case 11:
-			if s.closing == nil || rapid.Bool().Draw(t, "copies") {
-				s.copied = maps.Clone(s.stored)
-			}
-		case 12:
-			s.restore()
-		}
+		s.restoredStep(t, host, delay, restarts)
 		s.advance(delay.Draw(t, "pause"))
 		s.tick()
 		if s.closing != nil && !s.now.Before(s.closing.SafeAt()) {
@@ -126,6 +97,40 @@
 	return ""
 }
 
+// restoredStep makes one random step of such a history.
+func (s *simulation) restoredStep(t *rapid.T, host *rapid.Generator[string], delay *rapid.Generator[time.Duration], restarts bool) {
+	switch rapid.IntRange(0, 12).Draw(t, "step") {
+	case 0, 1, 2, 3, 4:
+		from, to := host.Draw(t, "from"), host.Draw(t, "to")
+		if from != to {
+			s.pull(from, to, delay.Draw(t, "there"), delay.Draw(t, "back"))
+		}
+	case 5, 6:
+		s.complete(host.Draw(t, "reader"), delay.Draw(t, "there"), delay.Draw(t, "back"), restarts)
+	case 7:
+		if name := host.Draw(t, "restarted"); name != s.closer && (restarts || s.closing == nil) {
+			s.restart(name)
+		}
+	case 8:
+		name := host.Draw(t, "frozen")
+		s.frozen[name] = s.now.Add(time.Duration(rapid.IntRange(1, 4000).Draw(t, "freeze")) * time.Millisecond)
+	case 9:
+		if name := host.Draw(t, "closer"); s.closing == nil && s.mayBegin(name) {
+			s.begin(name)
+		}
+	case 10:
+		if s.closing != nil {
+			s.requestClose(host.Draw(t, "asked"), delay.Draw(t, "there"), delay.Draw(t, "back"))
+		}
+	case 11:
+		if s.closing == nil || rapid.Bool().Draw(t, "copies") {
+			s.copied = maps.Clone(s.stored)
+		}
+	case 12:
+		s.restore()
+	}
+}
+
 // tick lets the hosts that are not frozen compute their leases.
 func (s *simulation) tick() {
 	for _, name := range s.names {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -25,6 +25,7 @@
 	watch            pb.WatchClient
 	timeout          time.Duration
 	progressInterval time.Duration
+	generations      *GenerationTracker
 }
 
 // callContext returns a context with the call timeout and a flag that is set once
@@ -69,9 +70,18 @@
 	}
 }
 
-// Generation implements Store. The protocol does not tell whether a cluster was restored,
-// so a restore must be run with a higher start revision (etcdutl --bump-revision).
-func (c *client) Generation() Generation { return FirstGeneration }
+// Generation implements Store. The protocol does not tell whether a cluster was restored.
+// Therefore a restore has to raise the revisions by 2^40 (etcdutl snapshot restore
+// --bump-revision 1099511627776 --mark-compacted), which makes them those of the next
+// generation.
+func (c *client) Generation() Generation { return c.generations.Newest() }
+
+// observe records the generation that an answer shows and returns its revision.
+func (c *client) observe(h *pb.ResponseHeader) int64 {
+	generation, _ := SplitRevision(h.GetRevision())
+	c.generations.Observe(generation)
+	return h.GetRevision()
+}
 
 func (c *client) Get(ctx context.Context, key string) (KeyValue, int64, error) {
 	ctx, _, cancel := c.callContext(ctx)
@@ -81,9 +91,9 @@
 		return KeyValue{}, 0, readError("get "+key, err)
 	}
 	if len(r.Kvs) == 0 {
-		return KeyValue{Key: key}, r.GetHeader().GetRevision(), nil
+		return KeyValue{Key: key}, c.observe(r.GetHeader()), nil
 	}
-	return keyValue(r.Kvs[0]), r.GetHeader().GetRevision(), nil
+	return keyValue(r.Kvs[0]), c.observe(r.GetHeader()), nil
 }
 
 func (c *client) List(ctx context.Context, prefix string) ([]KeyValue, int64, error) {
@@ -106,7 +116,7 @@
 	for _, kv := range r.Kvs {
 		out = append(out, keyValue(kv))
 	}
-	return out, r.GetHeader().GetRevision(), nil
+	return out, c.observe(r.GetHeader()), nil
 }
 
 func (c *client) Txn(ctx context.Context, txn Txn) (int64, error) {
@@ -138,10 +148,11 @@
 	if err != nil {
 		return 0, writeError("txn", sent.Load(), err)
 	}
+	revision := c.observe(r.GetHeader())
 	if !r.Succeeded {
 		return 0, fmt.Errorf("txn: %w", ErrConflict)
 	}
-	return r.GetHeader().GetRevision(), nil
+	return revision, nil
 }
 
 func (c *client) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
@@ -175,6 +186,7 @@
 		return 0, readError("keep lease alive", err)
 	}
 	_ = stream.CloseSend()
+	c.observe(r.GetHeader())
 	if r.TTL <= 0 {
 		return 0, fmt.Errorf("keep lease alive: %w", ErrLeaseNotFound)
 	}
--- a/internal/platform/dial.go
+++ b/internal/platform/dial.go
@@ -86,6 +86,7 @@
 		watch:            pb.NewWatchClient(conn),
 		timeout:          o.Timeout,
 		progressInterval: o.ProgressInterval,
+		generations:      NewGenerationTracker(nil),
 	}, nil
 }
 
--- a/internal/platform/standin/admin.go
+++ b/internal/platform/standin/admin.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -16,7 +17,8 @@
 )
 
 // Admin is an HTTP endpoint through which other processes read and set the faults
-// (GET and POST /faults) and read the call counts (GET /calls) of a stand-in.
+// (GET and POST /faults), restore a stand-in from an older copy (POST
+// /restore?lost_ms=N) and read its call counts (GET /calls).
 type Admin struct {
 	listener net.Listener
 	server   *http.Server
@@ -58,6 +60,15 @@
 		}
 		writeJSON(w, s.Faults())
 	})
+	mux.HandleFunc("POST /restore", func(w http.ResponseWriter, r *http.Request) {
+		lost, err := strconv.ParseUint(r.FormValue("lost_ms"), 10, 32)
+		if err != nil {
+			http.Error(w, "lost_ms: a number of milliseconds is required", http.StatusBadRequest)
+			return
+		}
+		s.Restore(time.Duration(lost) * time.Millisecond)
+		writeJSON(w, map[string]int64{"revision": s.Revision()})
+	})
 	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, s.CallsByClient())
 	})
--- a/internal/platform/standin/contract_test.go
+++ b/internal/platform/standin/contract_test.go
@@ -44,4 +44,15 @@
 	server := start()
 	harness.Open = func() platform.Store { return dial(server, "") }
 	harness.Compact = server.Compact
+	restoreHarness.Open = harness.Open
+	restoreHarness.Copy = func() func() {
+		copied := time.Now()
+		time.Sleep(2 * time.Millisecond)
+		return func() { server.Restore(time.Since(copied)) }
+	}
 })
+
+var restoreHarness = &platformtest.RestoreHarness{}
+
+// Guards against a client or a stand-in whose revisions go back after a restore.
+var _ = platformtest.DescribeRestore("etcd client and stand-in", restoreHarness)
--- a/internal/platform/standin/engine.go
+++ b/internal/platform/standin/engine.go
@@ -38,6 +38,7 @@
 // change is the list of events of one revision.
 type change struct {
 	revision int64
+	at       time.Time
 	events   []*mvccpb.Event
 }
 
@@ -162,7 +163,7 @@
 			event.Kv.CreateRevision = e.revision
 		}
 	}
-	e.history = append(e.history, change{revision: e.revision, events: events})
+	e.history = append(e.history, change{revision: e.revision, at: e.now(), events: events})
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
--- a/internal/platform/standin/faults_test.go
+++ b/internal/platform/standin/faults_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -318,8 +319,8 @@
 			admin, err := server.ServeAdmin("127.0.0.1:0")
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(admin.Close)
-			url := fmt.Sprintf("http://%s/faults", admin.Address())
-			response, err := http.Post(url, "application/json", strings.NewReader(body))
+			address := fmt.Sprintf("http://%s/faults", admin.Address())
+			response, err := http.Post(address, "application/json", strings.NewReader(body))
 			Expect(err).NotTo(HaveOccurred())
 			defer response.Body.Close()
 			_, err = io.ReadAll(response.Body)
@@ -336,4 +337,35 @@
 		Entry("negative count", `{"lose_answers":-1}`, http.StatusBadRequest, standin.Faults{}),
 		Entry("address without prefix length", `{"cut":["10.0.0.1"]}`, http.StatusBadRequest, standin.Faults{}),
 	)
+
+	// Guards against a restore that keeps what was written after the copy or a lease from
+	// before, and against one with an arbitrary age because of a malformed request.
+	It("is restored over HTTP", func() {
+		server := start()
+		admin, err := server.ServeAdmin("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(admin.Close)
+		restore := func(age string) int {
+			response, err := http.PostForm(fmt.Sprintf("http://%s/restore", admin.Address()), url.Values{"lost_ms": {age}})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(response.Body.Close()).To(Succeed())
+			return response.StatusCode
+		}
+		store := dial(server, "")
+		ctx := context.Background()
+		lease, err := store.GrantLease(ctx, time.Minute)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: "k"}}})
+		Expect(err).NotTo(HaveOccurred())
+		for _, invalid := range []string{"", "-1", "soon"} {
+			Expect(restore(invalid)).To(Equal(http.StatusBadRequest))
+		}
+		Expect(restore("60000")).To(Equal(http.StatusOK))
+		item, _, err := store.Get(ctx, "k")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(item.ModRevision).To(BeZero())
+		_, err = store.KeepAlive(ctx, lease)
+		Expect(err).To(MatchError(platform.ErrLeaseNotFound))
+		Expect(store.Generation()).To(Equal(platform.FirstGeneration + 1))
+	})
 })
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -128,6 +128,7 @@
 // updates converts a message to one update for each revision; the store may put
 // several revisions into one message.
 func (w *watcher) updates(r *pb.WatchResponse) []WatchUpdate {
+	w.client.observe(r.GetHeader())
 	if r.Created {
 		return nil
 	}
--- a/revision/revision.go
+++ b/revision/revision.go
@@ -2,6 +2,11 @@
 // accepts the changes; many hosts fetch them from the store or from one another,
 // apply them in order, and know how fresh their state is.
 //
+// Revisions must increase for as long as any host keeps a state. A store that can come
+// back from an older copy of its data has to number the changes after that higher than
+// all before, for example with a generation in the high bits; otherwise replicas take
+// them for old.
+//
 // The package does no I/O and reads no clock: every method that depends on time
 // takes the present time. A Replica is not safe for concurrent use.
 //
