share: a call that the owner did not take returns nothing

Cause: with every call a holder gives the spare tokens of its grants back, and leaves their room empty until an answer shows that the owner has them. Once the owners had lost their buckets with the store's lease, they answered that they own nothing, and each call gave away what the grant had gained: an idle host was left with none or one token for as long as no host owned the limit. Change: a resource that an owner leaves out of its reply, or a reply that it owns none, means that the call was not taken, and the holder keeps what it would have returned. A call without an answer returns it as before, because the owner may have it.

--- a/internal/shares/borrow.go
+++ b/internal/shares/borrow.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
 	"github.com/bramleylever/bramleylever/internal/control"
 	"github.com/bramleylever/bramleylever/internal/membership"
@@ -22,6 +25,8 @@
 type pendingDemand struct {
 	local    *localShare
 	sequence uint64
+	// replied says that the reply contains an answer, valid or not.
+	replied bool
 }
 
 // scan looks up the lease holders of the buckets and calls the owners of all shares
@@ -167,12 +172,12 @@
 // call sends one request for a batch of shares and applies the reply.
 func (r *Runner) call(ctx context.Context, batch []*localShare, prepare func(*share.Holder, time.Time) share.Call, borrow borrowFunc) {
 	in := &peerv1.BorrowRequest{Sender: r.options.Identity.Sender()}
-	pending := make(map[resource]pendingDemand, len(batch))
+	pending := make(map[resource]*pendingDemand, len(batch))
 	for _, l := range batch {
 		l.mu.Lock()
 		call := prepare(l.holder, r.options.Now())
 		l.mu.Unlock()
-		pending[l.resource] = pendingDemand{l, call.Sequence}
+		pending[l.resource] = &pendingDemand{local: l, sequence: call.Sequence}
 		in.Demands = append(in.Demands, demandToProto(l.resource, call))
 	}
 	r.stats.sent.Inc(1)
@@ -184,8 +189,13 @@
 	} else {
 		r.apply(reply, pending)
 	}
+	// An owner leaves out what it did not take, and is not found if it took nothing.
+	answered := err == nil || status.Code(err) == codes.NotFound
 	for _, s := range pending {
 		s.local.mu.Lock()
+		if answered && !s.replied {
+			s.local.holder.CallNotRun(s.sequence, r.options.Now())
+		}
 		s.local.holder.CallFailed(s.sequence)
 		s.local.mu.Unlock()
 	}
@@ -193,7 +203,7 @@
 
 // apply passes the grants of a reply to their holders. An answer that a holder does
 // not accept is dropped.
-func (r *Runner) apply(reply *peerv1.BorrowReply, pending map[resource]pendingDemand) {
+func (r *Runner) apply(reply *peerv1.BorrowReply, pending map[resource]*pendingDemand) {
 	now := r.options.Now()
 	for _, g := range reply.GetGrants() {
 		res := resource{kindFromProto(g.GetKind()), g.GetResource()}
@@ -201,6 +211,7 @@
 		if !ok {
 			continue
 		}
+		s.replied = true
 		answer, err := answerFromProto(g)
 		if err != nil {
 			r.stats.failed.Inc(1)
--- a/internal/shares/fleet_test.go
+++ b/internal/shares/fleet_test.go
@@ -57,6 +57,8 @@
 	units       int
 
 	level    float64
+	// lapsed says that the leases have ended although the members still name a holder.
+	lapsed   bool
 	excess   float64
 	admitted int
 	refused  int
@@ -73,7 +75,7 @@
 // Held implements control.Buckets. One host holds the leases of all buckets, or none
 // does.
 func (h *testHost) Held(uint32) (uint64, bool) {
-	return h.fleet.epoch, h.fleet.leaseHolder == h.name
+	return h.fleet.epoch, h.fleet.leaseHolder == h.name && !h.fleet.lapsed
 }
 
 func (h *testHost) Self() membership.Member {
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/bramleylever/bramleylever/share"
 )
 
 func TestShares(t *testing.T) {
@@ -129,3 +131,27 @@
 	g.Expect(f.hosts[0].runner.Admit("nobody", f.hosts[0].clock())).To(BeFalse())
 	g.Expect(f.hosts[0].runner.Limit("nowhere", f.hosts[0].clock())).To(BeZero())
 }
+
+// Guards against an idle host that refuses the second of two requests while no host owns
+// the limit: each call to the owner of before gave the tokens of its base grant away.
+func TestIdleHostKeepsItsBaseGrantWhileNobodyOwnsTheLimit(t *testing.T) {
+	f := newTestFleet(2)
+	const tick = 25 * time.Millisecond
+	idle := func(d time.Duration) {
+		for end := f.now + d; f.now < end; {
+			f.step(tick, 0)
+		}
+	}
+	f.step(tick, 1)
+	idle(5 * time.Second)
+	f.lapsed = true
+	idle(7 * time.Second)
+	h := f.hosts[1]
+	admitted := 0
+	for h.runner.Admit(testAccount, h.clock()) {
+		admitted++
+	}
+	if base := int(share.RateConfig().BaseFraction * testBurst / 2); admitted < base {
+		t.Errorf("%d requests admitted at once, the base grant is for %d", admitted, base)
+	}
+}
--- a/share/exchange.go
+++ b/share/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -112,6 +113,7 @@
 			spare -= given
 			s.level -= given
 			s.returning += given
+			h.spared[class] = given
 			credit := s.grant
 			credit.Level = given
 			h.returned = append(h.returned, credit)
@@ -139,6 +141,7 @@
 	h.sentAt = now
 	call := Call{Holder: h.id, Epoch: h.epoch, Sequence: h.sequence}
 	call.Wanted, call.Unmet = h.wanted(now)
+	h.inCall, h.spared = slices.Clone(h.returned), [classCount]float64{}
 	if h.cfg.Kind == Rate {
 		h.returnSpare()
 	}
@@ -211,6 +214,27 @@
 	}
 }
 
+// CallNotRun records that the owner did not take the call with the given sequence
+// number, for example because it does not own the resource any more: the holder keeps
+// what the call returned.
+func (h *Holder) CallNotRun(sequence uint64, now time.Time) {
+	if h.pending != sequence || sequence == 0 {
+		return
+	}
+	h.refillAll(now)
+	for class, given := range h.spared {
+		s := &h.current[class]
+		if !s.held {
+			continue
+		}
+		s.returning -= given
+		s.level = min(s.grant.Capacity-s.returning, s.level+given)
+		s.peak = max(s.peak, s.level)
+	}
+	h.returned = append(h.inCall, h.returned...)
+	h.CallFailed(sequence)
+}
+
 // Apply takes the answer to the latest call. It reports false and changes
 // nothing if the answer belongs to an earlier call, is a repetition, or comes
 // from a replaced owner.
@@ -302,6 +326,8 @@
 			h.current[class] = grantState{}
 		}
 		call := h.report(now)
+		// A host that leaves keeps nothing, whether the owner takes the call or not.
+		h.inCall, h.spared = nil, [classCount]float64{}
 		call.Wanted, call.Leaving = 0, true
 		return call
 	}
--- a/share/holder.go
+++ b/share/holder.go
@@ -32,6 +32,11 @@
 	// returned holds the tokens to give back with the next call.
 	returned []Grant
 
+	// inCall holds what the pending call returns of released grants, and spared, by
+	// class, the tokens that it returns of the current ones.
+	inCall []Grant
+	spared [classCount]float64
+
 	epoch    uint64
 	sequence uint64
 	// pending is the sequence number of the call that awaits an answer, or 0.
