--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -136,7 +136,7 @@
 // the limit: each call to the owner of before gave the tokens of its base grant away.
 func TestIdleHostKeepsItsBaseGrantWhileNobodyOwnsTheLimit(t *testing.T) {
 	f := newTestFleet(2)
-	const tick = 25 * time.Millisecond
+	const tick = 50 * time.Millisecond
 	idle := func(d time.Duration) {
 		for end := f.now + d; f.now < end; {
 			f.step(tick, 0)
