--- a/internal/shares/fleet_test.go
+++ b/internal/shares/fleet_test.go
@@ -56,7 +56,7 @@
 	limit       records.Account
 	units       int
 
-	level    float64
+	level float64
 	// lapsed says that the leases have ended although the members still name a holder.
 	lapsed   bool
 	excess   float64
