--- a/internal/quota/persist.go
+++ b/internal/quota/persist.go
@@ -32,12 +32,12 @@
 		l.options.Log.Warn("could not read the quota allocations", zap.String(logging.FieldStep, "read holdings"), zap.Error(err))
 		return
 	}
-	onlyGeneration := l.startInGeneration(asked)
+	oldest := l.startInGeneration(asked)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for shard := range l.ledgers {
 		for name, allocations := range l.ledgers[shard] {
-			if own, ok := allocations[l.options.Host]; ok && own.Generation >= onlyGeneration {
+			if own, ok := allocations[l.options.Host]; ok && own.Generation >= oldest {
 				a := l.account(name)
 				// Other hosts may be about to reclaim the allocation, so it is marked as due
 				// for renewal.
--- a/internal/quota/restored.go
+++ b/internal/quota/restored.go
@@ -168,10 +168,10 @@
 	return err
 }
 
-// startInGeneration prepares a process that starts: while the generation may not be
-// settled, it raises nothing, and of its own allocations only those count that were
-// written in this generation.
-func (l *Limiter) startInGeneration(now time.Time) (onlyGeneration platform.Generation) {
+// startInGeneration prepares a process that starts. While the generation may not be
+// settled, it raises nothing, and it takes over only those of its recorded allocations
+// that were written in the returned generation.
+func (l *Limiter) startInGeneration(now time.Time) (oldest platform.Generation) {
 	if l.store.generation <= max(platform.FirstGeneration, l.store.settled) {
 		return 0
 	}
