catalog: forget an outdated entry that a later read does not show

Seen: in reading. A server that had left was used after all, 6 s after a restore. Cause: its outdated entry is left out for 6 s; if the store had dropped it meanwhile and the host learned that from a full read and not from a watch, nothing removed it from the list of entries to apply at the end of that time. Change: a full read also deletes left out entries that it does not show. Result: the spec fails before and passes.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -158,8 +158,8 @@
 	f.publish()
 }
 
-// deletableKeys returns the keys below a prefix that are in the view and would be
-// removed by a deletion.
+// deletableKeys returns the keys below a prefix that are in the view, or left out of it,
+// and would be removed by a deletion.
 func (f *Follower) deletableKeys(prefix string) []string {
 	var keys []string
 	if prefix == f.layout.ServerPrefix {
@@ -168,6 +168,9 @@
 				keys = append(keys, f.layout.ServerPrefix+id)
 			}
 		}
+		for id := range f.view.outdated {
+			keys = append(keys, f.layout.ServerPrefix+id)
+		}
 		return keys
 	}
 	for domain := range f.view.evacuated {
--- a/internal/catalog/restored_test.go
+++ b/internal/catalog/restored_test.go
@@ -123,6 +123,24 @@
 		Expect(f.Snapshot().Servers["i1"].Started).To(Equal(int64(10)))
 	})
 
+	// Guards against a server that had left and is used after all, because the store has
+	// dropped its outdated entry while the host did not watch.
+	It("forget an outdated entry that is not there any more", func() {
+		f := newFollower()
+		read(f)
+		older := memory.Copy()
+		put("s/i1", Server{Service: "x", Started: 10, Sequence: 4, Draining: true})
+		read(f)
+		remove("s/i1")
+		read(f)
+		memory.Restore(older)
+		read(f)
+		remove("s/i1")
+		read(f)
+		expire(f, outdatedGrace)
+		Expect(f.Snapshot().Servers).To(BeEmpty())
+	})
+
 	// Guards against a failure domain that is used again although its evacuation was
 	// acknowledged, and against one that stays evacuated although that was taken back.
 	It("keep an evacuation until it is written again or stays missing", func() {
