promotion: the fake of the terms bears the calls of a hand-over

Cause: a race run found that the fake in the tests appends to a list from the two calls that a hand-over makes at the same time; the product is not concerned. Change: a lock, and a copy for the tests.

--- a/internal/promotion/handover_test.go
+++ b/internal/promotion/handover_test.go
@@ -57,7 +57,7 @@
 		w.terms.inUse = true
 		w.run(10)
 		Expect(w.orders).NotTo(BeEmpty())
-		Expect(w.terms.events).To(ContainElement("demoted"))
+		Expect(w.terms.recorded()).To(ContainElement("demoted"))
 	})
 
 	// Guards against a planned change that loses acknowledged commits: the target is
@@ -67,7 +67,7 @@
 		w.snapshot.Servers["p"].Draining = true
 		w.received["r2"] = at(100)
 		w.run(3)
-		Expect(w.terms.events[0]).To(Equal("demoted"))
+		Expect(w.terms.recorded()[0]).To(Equal("demoted"))
 		Expect(w.orders).NotTo(BeEmpty())
 		Expect(w.orders[0].id).To(Equal("r2"))
 		Expect(record(w).Answered).To(BeTrue())
@@ -115,14 +115,14 @@
 			lease := r.options.Lease
 			r.options.Lease = func() (platform.LeaseID, time.Duration) {
 				id, _ := lease()
-				if len(w.terms.events) > 0 {
+				if len(w.terms.recorded()) > 0 {
 					return id, minLeaseValidity / 2
 				}
 				return id, time.Hour
 			}
 		}
 		w.run(10)
-		Expect(w.terms.events).NotTo(BeEmpty())
+		Expect(w.terms.recorded()).NotTo(BeEmpty())
 		Expect(w.orders).To(BeEmpty())
 	})
 
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -53,6 +54,8 @@
 
 // fakeTerms implements Terms for one service.
 type fakeTerms struct {
+	// mu guards what the calls of a hand-over change, which run at the same time.
+	mu     sync.Mutex
 	leader uint64
 	closed uint64
 	// proved is the instance that leads the term leader.
@@ -68,18 +71,39 @@
 
 func (f *fakeTerms) Settled() bool { return !f.unsettled }
 
-func (f *fakeTerms) Closed(string) uint64 { return f.closed }
+func (f *fakeTerms) Closed(string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.closed
+}
 
 func (f *fakeTerms) Leader(string) (string, uint64) { return f.proved, f.leader }
 
-func (f *fakeTerms) MarkClosed(_ string, epoch uint64) { f.closed = max(f.closed, epoch) }
+func (f *fakeTerms) MarkClosed(_ string, epoch uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = max(f.closed, epoch)
+}
+
+// recorded returns the calls so far.
+func (f *fakeTerms) recorded() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.events)
+}
+
+func (f *fakeTerms) record(event string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, event)
+}
 
 func (f *fakeTerms) CloseTerm(_ context.Context, _ string, epoch uint64) error {
 	f.MarkClosed("", epoch)
 	if f.inUse {
 		return errors.New("in use")
 	}
-	f.events = append(f.events, "closed")
+	f.record("closed")
 	return nil
 }
 
@@ -87,7 +111,7 @@
 	if f.undemotable {
 		return errors.New("silent")
 	}
-	f.events = append(f.events, "demoted")
+	f.record("demoted")
 	return nil
 }
 
