--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -100,3 +100,13 @@
 	}
 	return fmt.Sprintf("success, rows %q, signature %s", a.rows, a.signature)
 }
+
+// unasked reports whether a message has arrived while no request was outstanding.
+func (c *client) unasked() bool {
+	_ = c.conn.SetDeadline(time.Now().Add(10 * time.Millisecond))
+	line, err := readLine(c.reader)
+	if err == nil {
+		c.record.add("%s gets a message that answers nothing: %q; it closes its session", c.name, line)
+	}
+	return err == nil
+}
