--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,5 @@
 #!/bin/bash
-cd "$(dirname "$0")/../.." || exit 2
+folder=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$folder/../.." || exit 2
 [ -x target/review/standin ] && [ -x target/bramleylever ] || exit 2
-exec target/review/standin framing review/2/record.txt
+exec target/review/standin stop "$folder/record.txt"
