--- a/review/standin/case_stop.go
+++ b/review/standin/case_stop.go
@@ -23,18 +23,24 @@
 	operationDeadline = 8 * time.Second
 	routeTimeout      = 2 * time.Second
 
-	stopSessions = 18
-	// A transaction has 12 statements: BEGIN, 10 reads and COMMIT.
-	stopReads = 10
-	readWork  = 200 * time.Millisecond
-	readPause = 460 * time.Millisecond
+	stopSessions = 12
+	// A transaction has 12 statements: BEGIN, 10 reads and COMMIT. The clients send a read
+	// every readPeriod, and each of them starts a little later than the one before.
+	stopReads  = 10
+	readWork   = 200 * time.Millisecond
+	readPeriod = 620 * time.Millisecond
+	startGap   = 8 * time.Millisecond
+	// beginTime is the time for BEGIN, which is repeated after BUSY.
+	beginTime = 1500 * time.Millisecond
+	// stopAfter is when the SIGTERM is sent, from the first read on.
+	stopAfter = 200 * time.Millisecond
 )
 
 // playStop stops a gateway while transactions are open. Each answer counts that a client did
 // not get although an instance had its request.
 func playStop(f *fleet, trouble bool) []string {
 	f.group.work = func(word, _ string) time.Duration {
-		if word == "READ" || word != "COMMIT" {
+		if word != "COMMIT" {
 			return readWork
 		}
 		return 6 * time.Millisecond
@@ -44,33 +50,30 @@
 	var broken []string
 	var stopped time.Time
 	var running sync.WaitGroup
-	begun := make(chan struct{}, stopSessions)
+	started := time.Now().Add(beginTime)
 	for i := range stopSessions {
 		c := f.dial(gateway.address(), "queue", "key-growers-1")
 		if c == nil {
 			fail("no session")
 		}
+		first := started.Add(time.Duration(i) * startGap)
 		running.Go(func() {
 			defer c.close()
-			time.Sleep(time.Duration(i) * 600 * time.Millisecond / stopSessions)
-			first := time.Now()
-			for n := range stopReads + 2 {
+			if !c.begin() {
+				return
+			}
+			for n := 1; n < stopReads+2; n++ {
 				text := fmt.Sprintf("READ item%d", i)
-				switch n {
-				case 0:
-					text = "BEGIN READ"
-				case stopReads + 1:
+				if n == stopReads+1 {
 					text = "COMMIT"
 				}
+				time.Sleep(time.Until(first.Add(time.Duration(n-1) * readPeriod)))
 				id := nextID()
 				a := c.query(id, text, routeTimeout+time.Second)
-				if n == 1 {
-					begun <- struct{}{}
-				}
 				if a.broken != nil {
 					mu.Lock()
 					defer mu.Unlock()
-					if reason := lostAnswer(f, id, &a, first, stopped); reason != "" {
+					if reason := lostAnswer(f, id, &a, first.Add(-beginTime), stopped); reason != "" {
 						broken = append(broken, reason)
 					}
 					return
@@ -78,15 +81,10 @@
 				if a.code != "" {
 					return
 				}
-				if n > 0 && n <= stopReads {
-					time.Sleep(readPause)
-				}
 			}
 		})
 	}
-	for range stopSessions {
-		<-begun
-	}
+	time.Sleep(time.Until(started.Add(stopAfter)))
 	if trouble {
 		mu.Lock()
 		stopped = time.Now()
@@ -102,12 +100,23 @@
 	return broken
 }
 
+// begin begins a transaction. After BUSY nothing is kept, and the client asks again.
+func (c *client) begin() bool {
+	for end := time.Now().Add(beginTime / 2); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		a := c.query(nextID(), "BEGIN READ", routeTimeout)
+		if a.code != "BUSY" {
+			return a.succeeded()
+		}
+	}
+	return false
+}
+
 // lostAnswer applies the rule LOST to a request whose connection ended. It returns why the
 // rule is broken, or nothing.
 func lostAnswer(f *fleet, id string, a *clientAnswer, operation, stopped time.Time) string {
-	runs := f.group.ran(id)
+	in, passedOn := f.group.receivedAt(id)
 	switch {
-	case len(runs) == 0:
+	case !passedOn:
 		f.record.add("id %s was not passed on to an instance: not counted", id)
 		return ""
 	case stopped.IsZero() || a.ended.After(stopped.Add(lossWindow)):
@@ -121,5 +130,5 @@
 		return ""
 	}
 	return fmt.Sprintf("LOST: id %s was sent %.2f s after the SIGTERM, instance %s had it %.0f ms later, and the connection ended %.2f s after the SIGTERM without an answer",
-		id, a.sent.Sub(stopped).Seconds(), runs[0].host, float64(runs[0].at.Sub(a.sent).Milliseconds()), a.ended.Sub(stopped).Seconds())
+		id, a.sent.Sub(stopped).Seconds(), in.host, float64(in.at.Sub(a.sent).Milliseconds()), a.ended.Sub(stopped).Seconds())
 }
--- a/review/standin/instance.go
+++ b/review/standin/instance.go
@@ -47,8 +47,10 @@
 	instances []*instance
 	primary   *instance
 	token     int64
-	// runs holds what the instances ran, in order.
-	runs []statementRun
+	// runs holds what the instances ran, in order, and received where and when a request
+	// reached an instance first.
+	runs     []statementRun
+	received map[string]statementRun
 }
 
 // statementRun is a statement that an instance ran.
@@ -56,7 +58,6 @@
 	at             time.Time
 	id, text, host string
 	tenant         string
-	code           string
 }
 
 type instance struct {
@@ -74,7 +75,7 @@
 }
 
 func newGroup(record *recorder, s *store) *group {
-	return &group{record: record, store: s, term: 3, work: func(string, string) time.Duration { return 6 * time.Millisecond }}
+	return &group{record: record, store: s, term: 3, received: map[string]statementRun{}, work: func(string, string) time.Duration { return 6 * time.Millisecond }}
 }
 
 // add starts an instance; the first one is the primary.
@@ -243,6 +244,9 @@
 func (c *instanceConn) answer(id, text string) string {
 	word, _, _ := strings.Cut(strings.TrimPrefix(text, "AFTER "), " ")
 	takesSlot := map[string]bool{"READ": true, "WRITE": true, "COMMIT": true, "EXECUTE": true, "STATUS": true}[word] || strings.HasPrefix(text, "AFTER ")
+	if id != "-" {
+		c.in.group.receive(c, id, text)
+	}
 	if takesSlot && !c.in.takeSlot() {
 		return c.finish(id, text, "ERROR BUSY "+c.in.id)
 	}
@@ -425,15 +429,19 @@
 	old.beat()
 }
 
-// ran returns the runs of the statements with an id.
-func (g *group) ran(id string) []statementRun {
+// receive records that a request has reached an instance.
+func (g *group) receive(c *instanceConn, id, text string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var out []statementRun
-	for _, r := range g.runs {
-		if r.id == id {
-			out = append(out, r)
-		}
+	if _, known := g.received[id]; !known {
+		g.received[id] = statementRun{at: time.Now(), id: id, text: text, host: c.in.id, tenant: c.tenant}
 	}
-	return out
+}
+
+// receivedAt returns where and when a request reached an instance first.
+func (g *group) receivedAt(id string) (statementRun, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r, ok := g.received[id]
+	return r, ok
 }
