gatewayd: log what was open at a stop and what is left at its end

Cause: the log lines of a stop said how many sessions were open and left, not whether they held an idle transaction or a statement under way. So the log could not tell apart a stop that exits while statements run, one that only closes idle transactions, and one whose answers are written too late. Change: "stop" and "stopped" name the transactions and the statements under way.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,13 +122,7 @@
 // CloseIdle closes the sessions without an open transaction or a running statement,
 // so that their callers reconnect, possibly to another host.
 func (g *Gateway) CloseIdle() {
-	g.mu.Lock()
-	sessions := make([]*Session, 0, len(g.sessions))
-	for s := range g.sessions {
-		sessions = append(sessions, s)
-	}
-	g.mu.Unlock()
-	for _, s := range sessions {
+	for _, s := range g.allSessions() {
 		s.closeIfIdle()
 	}
 }
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -218,7 +218,9 @@
 	started := time.Now()
 	grace := d.Settings().Grace
 	d.ready.Store(false)
-	d.log.Info("stop", zap.Int("sessions", g.Sessions()))
+	open := g.Usage()
+	d.log.Info("stop", zap.Int("sessions", open.Sessions), zap.Int("transactions", open.Transactions),
+		zap.Int("statements", open.Running), zap.Int("leases", serving()))
 	time.Sleep(min(removalTime, grace/3))
 	deadline := started.Add(grace - graceReserve)
 	for time.Now().Before(deadline) {
@@ -228,5 +230,7 @@
 		}
 		time.Sleep(drainPollInterval)
 	}
-	d.log.Info("stopped", zap.Int("sessions_left", g.Sessions()), zap.Int("leases_left", serving()), zap.Duration("took", time.Since(started)))
+	left := g.Usage()
+	d.log.Info("stopped", zap.Int("sessions_left", left.Sessions), zap.Int("transactions_left", left.Transactions),
+		zap.Int("statements_left", left.Running), zap.Int("leases_left", serving()), zap.Duration("took", time.Since(started)))
 }
