gatewayd: a planned stop accepts no statement that it cannot answer

Cause: the drain had one deadline, that of the process. Nothing refused a statement or ended a transaction before it, so what arrived in the last moment could not be answered. The log of the case shows it: "stopped ... sessions_left=12 transactions_left=0 statements_left=12". Ruled out by it: idle transactions that are closed (0 left), and answers that were ready but not written (all 12 were waiting for an instance). Change: the steps and moments of a drain are in internal/drain, which the daemon now runs. Open transactions get the first half of the grace time; then they are rolled back, their next statement is answered with ABORTED (a commit too, it is not sent), and their session is closed after that answer. New work is refused. What was accepted has the rest of the time; what still runs shortly before the exit is interrupted and answered with its honest outcome. Sessions whose caller stays silent are closed last. Each step logs what is open, and counters say what was aborted, refused and interrupted; work that is cut off is logged as an error. The end of the registration no longer holds the process beyond its time. Why it works: a statement is accepted only while at least the time from half of the grace time to the interrupt is left for it, and each path of a statement ends at the interrupt. Tests: internal/gateway "The end of transactions in a planned stop", "An interrupt in a planned stop"; internal/drain histories and TestPromise13StatementsHaveTimeToEnd; internal/connpool "ends work under way"; internal/gatewayd.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -19,10 +19,10 @@
 // Link is a raw connection that speaks the wire format.
 type Link interface {
 	// Exchange sends the statements in one packet and returns their results in order.
-	// While it waits for data, it calls stalled from time to time and gives up if that
+	// While it waits for data, it calls abandoned from time to time and gives up if that
 	// returns true. On an error it also returns the results that arrived before, and
 	// the link is no longer usable.
-	Exchange(deadline time.Time, stalled func() bool, statements ...statement.Statement) ([]statement.Result, error)
+	Exchange(deadline time.Time, abandoned func() bool, statements ...statement.Statement) ([]statement.Result, error)
 	// Alive reports, without blocking, whether the peer still has the link open.
 	Alive() bool
 	Close()
@@ -77,7 +77,8 @@
 	broken := c.broken
 	// Unless the exchange ends well, answers may be left unread.
 	c.broken = true
-	results, err := c.Link.Exchange(deadline, func() bool { return c.instance.silent(sent) }, statements...)
+	abandoned := func() bool { return c.instance.interrupted.Load() || c.instance.silent(sent) }
+	results, err := c.Link.Exchange(deadline, abandoned, statements...)
 	if err == nil {
 		c.broken = broken
 		c.instance.recordAnswer(sent)
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -47,6 +48,8 @@
 	now          func() time.Time
 	dials        metrics.Counter
 	limitReached metrics.Counter
+	// interrupted is set by Interrupt.
+	interrupted atomic.Bool
 
 	mu        sync.Mutex
 	instances map[string]*instance
@@ -72,7 +75,9 @@
 // instance is the pool's state for one incarnation of an instance.
 type instance struct {
 	activity
-	server      *catalog.Server
+	server *catalog.Server
+	// interrupted is that of the pool.
+	interrupted *atomic.Bool
 	limit       Limit
 	idle        []*Conn
 	open        int
@@ -109,12 +114,16 @@
 	k := key(server)
 	in := p.instances[k]
 	if in == nil {
-		in = &instance{server: server}
+		in = &instance{server: server, interrupted: &p.interrupted}
 		p.instances[k] = in
 	}
 	return in
 }
 
+// Interrupt ends the statements that run on the connections as if their deadlines had
+// passed. Statements that are sent later end in the same way.
+func (p *Pool) Interrupt() { p.interrupted.Store(true) }
+
 // Load returns the number of connections in use plus the number of requests waiting
 // for one, as a measure of the load that this host puts on the instance.
 func (p *Pool) Load(server *catalog.Server) int {
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -30,9 +30,17 @@
 	err    error
 	alive  bool
 	closed bool
+	// silent makes the link answer nothing until the work is abandoned.
+	silent bool
 }
 
-func (l *fakeLink) Exchange(_ time.Time, _ func() bool, statements ...statement.Statement) ([]statement.Result, error) {
+func (l *fakeLink) Exchange(_ time.Time, abandoned func() bool, statements ...statement.Statement) ([]statement.Result, error) {
+	if l.silent {
+		for !abandoned() {
+			time.Sleep(time.Millisecond)
+		}
+		return nil, errors.New("i/o timeout")
+	}
 	if l.err != nil {
 		return nil, l.err
 	}
@@ -202,4 +210,21 @@
 		run(nil, &Prepared{Shape: "q"}, statement.Statement{Kind: statement.Execute, Name: "s2"})
 		Expect(kinds()).To(Equal([]statement.Kind{statement.Reset, statement.Prepare, statement.Execute}))
 	})
+
+	// Guards against work that outlasts the process, which then ends without an answer to
+	// the caller.
+	It("ends work under way, and later work, once it is interrupted", func() {
+		h := acquire("a", two)
+		dialer.links[0].silent = true
+		do := func() error {
+			_, err := h.Do(time.Now().Add(time.Minute), Work{Statements: []statement.Statement{{Kind: statement.Write}}})
+			return err
+		}
+		done := make(chan error, 1)
+		go func() { done <- do() }()
+		Consistently(done, minSilence/8).ShouldNot(Receive())
+		pool.Interrupt()
+		Eventually(done, minSilence/2).Should(Receive(And(HaveOccurred(), Not(MatchError(outcome.ErrNotRun)))))
+		Expect(do()).NotTo(Succeed())
+	})
 })
--- a/internal/connpool/work.go
+++ b/internal/connpool/work.go
@@ -70,6 +70,9 @@
 	// Load returns how many operations use or wait for connections to an instance, as
 	// far as this host knows.
 	Load(server *catalog.Server) int
+	// Interrupt ends all work under way as if its deadline had passed; later work ends
+	// at once.
+	Interrupt()
 }
 
 // localHandle is a Handle for a connection of this host's pool.
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -92,41 +92,66 @@
 	})
 }
 
-// Guards against a drain that closes open sessions too early, hands duties back while
-// sessions are open, skips a step or exceeds its timeout.
+// Guards against a drain that ends open transactions or interrupts statements too early,
+// hands duties back while work is open, skips a step or exceeds its time. Each kind of work
+// must have a last moment at which it is accepted, and time to end after that.
 func TestPromise13HostDrainHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		limit := time.Duration(rapid.IntRange(100, 90_000).Draw(t, "limit ms")) * time.Millisecond
+		readiness := time.Duration(rapid.IntRange(0, 4000).Draw(t, "readiness ms")) * time.Millisecond
+		handBack := time.Duration(rapid.IntRange(0, 5000).Draw(t, "hand back ms")) * time.Millisecond
+		plan := Within(limit, readiness, handBack)
+		if !(plan.Readiness <= plan.LastStatement && plan.LastStatement <= plan.Interrupt &&
+			plan.Interrupt <= plan.HandBack && plan.HandBack <= plan.Exit && plan.Exit < limit) {
+			t.Fatalf("plan is not in order: %+v", plan)
+		}
+		if plan.LastStatement < limit/2 {
+			t.Fatalf("open transactions get only %v of %v", plan.LastStatement, limit)
+		}
 		var h HostDrain
 		start := time.Unix(100, 0)
 		now := start
 		if len(h.Tick(now, Progress{})) != 0 {
 			t.Fatal("a step was due before the start of the drain")
 		}
-		h.Start(now)
-		sessions := rapid.IntRange(0, 3).Draw(t, "sessions")
+		h.Start(now, plan)
+		work := rapid.IntRange(0, 3).Draw(t, "work")
 		answers := rapid.Bool().Draw(t, "hand back completes")
+		earliest := map[Step]time.Duration{
+			StepEndTransactions: plan.LastStatement, StepInterrupt: plan.Interrupt, StepHandBack: plan.HandBack,
+		}
 		var steps []Step
 		for h.Last() != StepDone {
-			p := Progress{Sessions: sessions, HandedBack: answers && h.Last() == StepHandBack && rapid.Bool().Draw(t, "handed back")}
+			if rapid.IntRange(0, 9).Draw(t, "second signal") == 0 {
+				h.Start(now, Within(limit*2, readiness, handBack))
+			}
+			p := Progress{Work: work, HandedBack: answers && h.Last() == StepHandBack && rapid.Bool().Draw(t, "handed back")}
 			due := h.Tick(now, p)
 			age := now.Sub(start)
-			if slices.Contains(due, StepStopAccepting) && age < ReadinessDelay {
-				t.Fatalf("stops accepting connections after only %v", age)
+			for _, s := range due {
+				if s == StepCloseIdle && age < plan.Readiness || work > 0 && age < earliest[s] {
+					t.Fatalf("step %v is due after only %v with work %d", s, age, work)
+				}
 			}
-			if slices.Contains(due, StepCloseOpenSessions) && sessions > 0 && age < Timeout-handBackReserve {
-				t.Fatalf("closes open sessions after only %v", age)
-			}
-			if slices.Contains(due, StepCloseOpenSessions) {
-				sessions = 0
-			}
-			if steps = append(steps, due...); age > Timeout {
+			if steps = append(steps, due...); age > limit {
 				t.Fatalf("not done after %v: %v", age, steps)
 			}
-			now = now.Add(time.Second)
-			sessions = max(0, sessions-rapid.IntRange(0, 1).Draw(t, "end")*rapid.IntRange(0, 1).Draw(t, "really"))
+			now = now.Add(limit / 50)
+			work = max(0, work-rapid.IntRange(0, 1).Draw(t, "end")*rapid.IntRange(0, 1).Draw(t, "really"))
 		}
 		if !slices.Equal(steps, []Step{1, 2, 3, 4, 5, 6}) {
 			t.Fatalf("steps %v", steps)
 		}
 	})
 }
+
+// Guards against a statement that is accepted in the last moment and cannot end before the
+// process: a transaction's statements must stop while there is time for them to run.
+func TestPromise13StatementsHaveTimeToEnd(t *testing.T) {
+	g := NewWithT(t)
+	plan := Within(6*time.Second, 2200*time.Millisecond, 0)
+	g.Expect(plan.Readiness).To(Equal(2 * time.Second))
+	g.Expect(plan.LastStatement).To(Equal(3 * time.Second))
+	g.Expect(plan.Interrupt - plan.LastStatement).To(BeNumerically(">=", 2*time.Second))
+	g.Expect(plan.Exit).To(BeNumerically("<", 6*time.Second))
+}
--- a/internal/drain/host.go
+++ b/internal/drain/host.go
@@ -2,33 +2,68 @@
 
 import "time"
 
+// Plan is the schedule of a host's drain, as durations from its start. Each kind of work
+// has a last moment at which it is accepted, early enough that it ends before the host
+// does.
+type Plan struct {
+	// Readiness is the time between the change to not ready and the end of new
+	// transactions, in which load balancers stop sending callers.
+	Readiness time.Duration
+	// LastStatement is when open transactions accept their last statement.
+	LastStatement time.Duration
+	// Interrupt is when statements that still run are interrupted, so that their
+	// callers get an answer.
+	Interrupt time.Duration
+	// HandBack is when duties are handed back even if a session is still open.
+	HandBack time.Duration
+	// Exit is when the process ends, whatever is still open.
+	Exit time.Duration
+}
+
 const (
-	// ReadinessDelay is the time between the change to not ready and the end of accepting
-	// connections, in which load balancers stop sending new ones.
-	ReadinessDelay = 3 * time.Second
-	// Timeout is the time after which the process ends, whatever is still open.
-	Timeout = 60 * time.Second
-	// handBackReserve is the part of Timeout that is reserved for handing back duties.
-	handBackReserve = 5 * time.Second
+	// lastStatementDivisor gives open transactions this fraction (1/n) of the time to
+	// end; the rest is for the statements that were accepted until then.
+	lastStatementDivisor = 2
+	// maxReadinessDivisor limits the readiness time to this fraction of the time.
+	maxReadinessDivisor = 3
+	// exitReserve is the time that the end of the process takes, and answerReserve the
+	// time that interrupted statements need for their answers. Both are shorter if the
+	// whole time is short.
+	exitReserve          = 500 * time.Millisecond
+	exitReserveDivisor   = 12
+	answerReserve        = 250 * time.Millisecond
+	answerReserveDivisor = 24
 )
 
+// Within returns the plan of a drain that ends within a time. The readiness is how long
+// load balancers need, and handBack how long handing back duties may take.
+func Within(limit, readiness, handBack time.Duration) Plan {
+	p := Plan{
+		Readiness:     min(readiness, limit/maxReadinessDivisor),
+		LastStatement: limit / lastStatementDivisor,
+		Exit:          limit - min(exitReserve, limit/exitReserveDivisor),
+	}
+	p.HandBack = max(p.LastStatement, p.Exit-handBack)
+	p.Interrupt = max(p.LastStatement, p.HandBack-min(answerReserve, limit/answerReserveDivisor))
+	return p
+}
+
 // Step is one step of the drain of a host. Each step runs once, in the order of the
 // constants.
 type Step int
 
 // The steps of the drain of a host.
 const (
-	// StepNotReady sets readiness to not ready and marks the host's own member as draining.
+	// StepNotReady sets readiness to not ready and refuses new work of other hosts.
 	StepNotReady Step = iota + 1
-	// StepStopAccepting closes the listeners for callers.
-	StepStopAccepting
-	// StepCloseSessions closes each session at its next transaction boundary.
-	StepCloseSessions
-	// StepCloseOpenSessions closes the remaining sessions; their transactions are rolled
-	// back and logged.
-	StepCloseOpenSessions
-	// StepHandBack releases buckets and the relay slot, returns grants and leaves the
-	// membership.
+	// StepCloseIdle closes each session at its next transaction boundary.
+	StepCloseIdle
+	// StepEndTransactions rolls back the transactions that are open. Their next
+	// statement is refused, as is all other new work; statements under way continue.
+	StepEndTransactions
+	// StepInterrupt interrupts the statements under way and closes the other sessions.
+	StepInterrupt
+	// StepHandBack hands back the host's duties and leaves the fleet.
 	StepHandBack
 	// StepDone ends the process.
 	StepDone
@@ -39,12 +74,12 @@
 	switch s {
 	case StepNotReady:
 		return "not_ready"
-	case StepStopAccepting:
-		return "stop_accepting"
-	case StepCloseSessions:
-		return "close_sessions"
-	case StepCloseOpenSessions:
-		return "close_open_sessions"
+	case StepCloseIdle:
+		return "close_idle"
+	case StepEndTransactions:
+		return "end_transactions"
+	case StepInterrupt:
+		return "interrupt"
 	case StepHandBack:
 		return "hand_back"
 	case StepDone:
@@ -56,8 +91,9 @@
 
 // Progress is the state of the drain that the caller passes to each Tick.
 type Progress struct {
-	// Sessions is the number of open caller sessions.
-	Sessions int
+	// Work is the number of open caller sessions and of other hosts' uses of this
+	// host's connections.
+	Work int
 	// HandedBack is set once StepHandBack has completed.
 	HandedBack bool
 }
@@ -65,15 +101,16 @@
 // HostDrain decides when each step of the drain of this host is due. It does no I/O and
 // reads no clock. It is not safe for concurrent use.
 type HostDrain struct {
+	plan      Plan
 	startedAt time.Time
 	last      Step
 }
 
-// Start begins the drain; later calls have no effect. A drain cannot be cancelled: the
-// process ends and a new one replaces it.
-func (h *HostDrain) Start(now time.Time) {
+// Start begins the drain. It has no effect if the drain has begun: a second stop signal
+// does not change the plan, and a drain cannot be cancelled.
+func (h *HostDrain) Start(now time.Time, p Plan) {
 	if h.startedAt.IsZero() {
-		h.startedAt = now
+		h.startedAt, h.plan = now, p
 	}
 }
 
@@ -93,21 +130,24 @@
 	return due
 }
 
-// isDue reports whether step s, the one after the last, can begin. Duties are handed back
-// only after all sessions are closed, because sessions use grants.
+// isDue reports whether step s, the one after the last, can begin. Once no work is left,
+// a step is due at once. Duties are handed back only after all work, because work may
+// depend on them.
 func (h *HostDrain) isDue(s Step, now time.Time, p Progress) bool {
 	age := now.Sub(h.startedAt)
 	switch s {
 	case StepNotReady:
 		return true
-	case StepStopAccepting, StepCloseSessions:
-		return age >= ReadinessDelay
-	case StepCloseOpenSessions:
-		return p.Sessions == 0 || age >= Timeout-handBackReserve
+	case StepCloseIdle:
+		return age >= h.plan.Readiness
+	case StepEndTransactions:
+		return p.Work == 0 || age >= h.plan.LastStatement
+	case StepInterrupt:
+		return p.Work == 0 || age >= h.plan.Interrupt
 	case StepHandBack:
-		return true
+		return p.Work == 0 || age >= h.plan.HandBack
 	case StepDone:
-		return p.HandedBack || age >= Timeout
+		return p.HandedBack || age >= h.plan.Exit
 	default:
 		return false
 	}
--- /dev/null
+++ b/internal/gateway/drain_test.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/bramleylever/bramleylever/internal/statement"
+)
+
+// openSession is a session whose caller's connection records that it is closed.
+type openSession struct {
+	*Session
+	closed atomic.Bool
+}
+
+func (s *fixture) openSession(database string) *openSession {
+	o := &openSession{}
+	session, result := s.gateway.Open(database, key, func() { o.closed.Store(true) })
+	Expect(result.Succeeded()).To(BeTrue())
+	o.Session = session
+	return o
+}
+
+// rolledBack reports whether the gateway has rolled the session's transaction back.
+func (o *openSession) rolledBack() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.tx == nil && o.unreported
+}
+
+var _ = Describe("The end of transactions in a planned stop", func() {
+	// Guards against a stop that takes statements of open transactions until the process
+	// exits, and that leaves the caller of a rolled back transaction without a promise.
+	DescribeTable("answers the next statement at once, promises that nothing is kept, and then closes the session",
+		func(next statement.Statement, expected statement.Code, state statement.State) {
+			s := newFixture()
+			session := s.openSession("strong")
+			session.handle(simple("b", statement.Begin))
+			Expect(session.handle(write("w")).Succeeded()).To(BeTrue())
+			s.gateway.Drain()
+			Expect(session.handle(write("w2")).Succeeded()).To(BeTrue(), "the transaction may go on until it has to end")
+			s.gateway.EndTransactions()
+			Eventually(session.rolledBack).Should(BeTrue())
+			Expect(session.closed.Load()).To(BeFalse(), "the caller does not know yet")
+			result, closeConn := session.Handle(next, time.Now())
+			Expect(result.Code).To(Equal(expected))
+			Expect(result.State).To(Equal(state))
+			Expect(closeConn).To(BeTrue())
+			Expect(s.group.runsOf(next.ID)).To(BeEmpty())
+			Expect(s.group.instances["p"].applied).To(Equal(uint64(100)), "nothing is committed")
+			Expect(s.gateway.DrainCounts()).To(Equal(DrainCounts{Aborted: 1, Refused: 1}))
+		},
+		Entry("a read", read("n"), statement.Aborted, statement.InFailed),
+		Entry("a write", write("n"), statement.Aborted, statement.InFailed),
+		Entry("a commit", simple("n", statement.Commit), statement.Aborted, statement.Idle),
+		Entry("a rollback", simple("n", statement.Rollback), statement.OK, statement.Idle),
+		Entry("an invalid statement", statement.Statement{ID: "n", Problem: "invalid"}, statement.Aborted, statement.InFailed),
+	)
+
+	// Guards against a commit that is sent to an instance after the last moment because
+	// it arrives before the transaction has been rolled back.
+	It("refuses a commit that arrives with the end", func() {
+		s := newFixture()
+		session := s.openSession("strong")
+		session.handle(simple("b", statement.Begin))
+		Expect(session.handle(write("w")).Succeeded()).To(BeTrue())
+		s.gateway.phase.Store(int32(phaseEndingTransactions))
+		Expect(session.handle(simple("c", statement.Commit)).Code).To(Equal(statement.Aborted))
+		Expect(s.group.runsOf("c")).To(BeEmpty())
+		Expect(s.group.instances["p"].applied).To(Equal(uint64(100)))
+	})
+
+	// Guards against work that begins after the last moment, in a session that is open or
+	// in a new one.
+	It("refuses all other new work as not run", func() {
+		s := newFixture()
+		session := s.session("strong")
+		s.gateway.phase.Store(int32(phaseEndingTransactions))
+		for _, st := range []statement.Statement{write("w"), read("q"), simple("b", statement.Begin)} {
+			Expect(session.handle(st).Code).To(Equal(statement.Busy))
+		}
+		Expect(s.group.runs).To(BeEmpty())
+		refused, result := s.gateway.Open("strong", key, func() {})
+		Expect(refused).To(BeNil())
+		Expect(result.Code).To(Equal(statement.Busy))
+	})
+
+	// Guards against a session in the failed state that keeps the process until the end of
+	// the grace time: its caller was told before.
+	It("closes a session in the failed state", func() {
+		s := newFixture()
+		session := s.openSession("strong")
+		session.handle(simple("b", statement.Begin))
+		Expect(session.handle(statement.Statement{ID: "x", Problem: "invalid"}).State).To(Equal(statement.InFailed))
+		s.gateway.Drain()
+		Expect(session.closed.Load()).To(BeFalse(), "the caller may still end the transaction")
+		s.gateway.EndTransactions()
+		Expect(session.closed.Load()).To(BeTrue())
+	})
+
+	// Guards against a caller that stays silent and keeps the process until the end of the
+	// grace time.
+	It("closes the session of a silent caller when statements are interrupted", func() {
+		s := newFixture()
+		session := s.openSession("strong")
+		session.handle(simple("b", statement.Begin))
+		s.gateway.EndTransactions()
+		Eventually(session.rolledBack).Should(BeTrue())
+		s.gateway.Sweep()
+		Expect(session.closed.Load()).To(BeFalse())
+		s.gateway.Interrupt()
+		Expect(session.closed.Load()).To(BeTrue())
+		Expect(s.group.interrupts).To(Equal(1))
+		result, _ := session.Handle(simple("c", statement.Commit), time.Now())
+		Expect(result.Code).To(Equal(statement.Aborted), "a commit that arrives as the session is closed")
+	})
+})
+
+var _ = Describe("An interrupt in a planned stop", func() {
+	// Guards against a statement that was accepted in time and that the end of the process
+	// cuts off while it waits for an instance.
+	DescribeTable("answers a statement under way with its outcome",
+		func(open bool, st statement.Statement, prepare func(*fixture), expected statement.Code) {
+			s := newFixture()
+			for _, r := range s.snapshot.Config.Routes {
+				r.Timeout = time.Minute
+			}
+			session := s.session("strong")
+			if open {
+				session.handle(simple("b", statement.Begin))
+			}
+			prepare(s)
+			answered := make(chan statement.Result, 1)
+			go func() { answered <- session.handle(st) }()
+			Eventually(func() int { return s.gateway.Usage().Running }).Should(Equal(1))
+			s.gateway.EndTransactions()
+			Consistently(answered, 50*time.Millisecond).ShouldNot(Receive(), "it continues until it is interrupted")
+			s.gateway.Interrupt()
+			var result statement.Result
+			Eventually(answered).Should(Receive(&result))
+			Expect(result.Code).To(Equal(expected))
+			Expect(s.gateway.DrainCounts().Interrupted).To(Equal(int64(1)))
+		},
+		Entry("a read that finds no leader", false, read("q"), noLeader, statement.Busy),
+		Entry("a write that finds no leader", false, write("w"), noLeader, statement.Busy),
+		Entry("the first statement of a transaction that finds no leader", true, write("w"), noLeader, statement.Aborted),
+		Entry("a read at a silent instance", false, read("q"), silence, statement.Busy),
+		Entry("a write at a silent instance", false, write("w"), silence, statement.InDoubt),
+		Entry("a statement of a transaction at a silent instance", true, write("w"), silence, statement.Aborted),
+	)
+})
+
+// noLeader makes every instance refuse what only a leader runs.
+func noLeader(s *fixture) { s.group.set("p", func(i *fakeInstance) { i.leads = false }) }
+
+// silence makes the instances answer nothing until work is interrupted.
+func silence(s *fixture) {
+	for id := range s.group.instances {
+		s.group.set(id, func(i *fakeInstance) { i.fault = silent })
+	}
+}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -23,6 +23,9 @@
 	mu        sync.Mutex
 	instances map[string]*fakeInstance
 	runs      []run
+	// interrupts is the number of calls of Interrupt.
+	interrupts  int
+	interrupted chan struct{}
 	// onRun is called for each statement that runs, if it is set.
 	onRun func(instance string, kind statement.Kind)
 }
@@ -50,6 +53,8 @@
 	loseAnswer
 	breakBeforeSend
 	busy
+	// silent does not answer until work is interrupted.
+	silent
 )
 
 func (i *fakeInstance) position() position.Position {
@@ -81,6 +86,13 @@
 
 func (g *fakeGroup) Load(*catalog.Server) int { return 0 }
 
+func (g *fakeGroup) Interrupt() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.interrupts++
+	close(g.interrupted)
+}
+
 func (h *fakeHandle) Release() {}
 
 func (h *fakeHandle) Do(_ time.Time, w connpool.Work) (connpool.Answer, error) {
@@ -91,6 +103,11 @@
 	switch in.fault {
 	case unreachable:
 		return answer, fmt.Errorf("reset: %w", outcome.ErrNotRun)
+	case silent:
+		h.group.mu.Unlock()
+		<-h.group.interrupted
+		h.group.mu.Lock()
+		return answer, errors.New("i/o timeout")
 	case breakBeforeSend:
 		in.fault = noFault
 		return answer, fmt.Errorf("reset: %w", outcome.ErrNotRun)
@@ -232,7 +249,7 @@
 
 func newFixture() *fixture {
 	s := &fixture{now: time.Now(), admit: true, terms: &fakeTerms{}}
-	s.group = &fakeGroup{instances: map[string]*fakeInstance{
+	s.group = &fakeGroup{interrupted: make(chan struct{}), instances: map[string]*fakeInstance{
 		"p": {leads: true, term: 1, applied: 100}, "r1": {term: 1, applied: 90}, "r2": {term: 1, applied: 90},
 	}}
 	account := &catalog.Account{Name: "account"}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,7 +86,12 @@
 	// leaderProofs merges concurrent requests for the proof that an instance leads.
 	leaderProofs syncx.SingleFlight
 
-	draining atomic.Bool
+	// phase is the drainPhase.
+	phase      atomic.Int32
+	drainStats drainStats
+	// work ends when the statements under way must end.
+	work          context.Context
+	interruptWork context.CancelFunc
 	// servedCount counts served statements; one in servedLogInterval is logged.
 	servedCount atomic.Uint64
 
@@ -98,7 +104,9 @@
 	if o.Terms == nil {
 		o.Terms = openTerms{}
 	}
+	work, interrupt := context.WithCancel(context.Background())
 	return &Gateway{
+		work: work, interruptWork: interrupt, drainStats: newDrainStats(o.Registry),
 		options: o, log: o.Log, bounds: staleness.New(), health: newHealth(o.Reachability),
 		stats: newStats(o.Registry), now: time.Now, sampleRequests: syncx.NewSingleFlight(), leaderProofs: syncx.NewSingleFlight(),
 		sessions: map[*Session]struct{}{},
@@ -111,18 +119,3 @@
 	defer g.mu.Unlock()
 	return len(g.sessions)
 }
-
-// Drain starts the shutdown: open transactions continue, and each session is closed
-// once it has no open transaction.
-func (g *Gateway) Drain() {
-	g.draining.Store(true)
-	g.CloseIdle()
-}
-
-// CloseIdle closes the sessions without an open transaction or a running statement,
-// so that their callers reconnect, possibly to another host.
-func (g *Gateway) CloseIdle() {
-	for _, s := range g.allSessions() {
-		s.closeIfIdle()
-	}
-}
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -66,7 +66,8 @@
 }
 
 // pause clears the excluded instances and waits for choiceRetryInterval or a catalog
-// change, whichever comes first. It reports false if the deadline has passed.
+// change, whichever comes first. It reports false if the deadline has passed or the
+// statement is interrupted.
 func (op *operation) pause(a *attempts, deadline time.Time) bool {
 	g := op.gateway()
 	clear(a.tried)
@@ -81,10 +82,18 @@
 	select {
 	case <-g.options.Changed():
 	case <-timer.C:
+	case <-g.work.Done():
+		return false
 	}
 	return true
 }
 
+// mayTry reports whether a statement with the deadline may be tried at an instance now.
+func (op *operation) mayTry(deadline time.Time) bool {
+	g := op.gateway()
+	return !g.interrupted() && g.now().Before(deadline)
+}
+
 // refuseEarly reports whether a statement is refused now because it needs a leader and
 // this host may not use leaders; another host may.
 func (op *operation) refuseEarly(t target) bool {
@@ -108,7 +117,7 @@
 	g := op.gateway()
 	deadline := op.deadline(c.arrived)
 	a := &attempts{}
-	for g.now().Before(deadline) {
+	for op.mayTry(deadline) {
 		t := g.chooseRead(g.options.Catalog(), op, a.tried, g.now())
 		if t.server == nil {
 			if op.refuseEarly(t) || !op.pause(a, deadline) {
@@ -251,7 +260,7 @@
 	g := op.gateway()
 	started := g.now()
 	defer func() { a.connecting += g.now().Sub(started) }()
-	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(started)/acquireTimeoutDivisor)
+	ctx, cancel := context.WithTimeout(g.work, deadline.Sub(started)/acquireTimeoutDivisor)
 	defer cancel()
 	return g.options.Conns.Acquire(ctx, server, op.account, op.session.values)
 }
@@ -288,7 +297,7 @@
 	g := op.gateway()
 	deadline := op.deadline(c.arrived)
 	a := &attempts{}
-	for g.now().Before(deadline) {
+	for op.mayTry(deadline) {
 		server := g.chooseLeader(g.options.Catalog(), op.route.Service, a.tried, g.now())
 		if server == nil {
 			if op.refuseEarly(target{requireLeader: true}) || !op.pause(a, deadline) {
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -37,6 +37,9 @@
 	// failed is set if the transaction was rolled back by the gateway and the caller
 	// has not ended it yet.
 	failed bool
+	// unreported is set if the gateway's shutdown rolled the transaction back and no
+	// answer has said so yet.
+	unreported bool
 }
 
 // Open starts a session on a database for the account of an API key. If the session
@@ -44,6 +47,9 @@
 // connection once no request is being read or answered on it, and may be called from any
 // goroutine. A request that is handled after that is refused.
 func (g *Gateway) Open(database, key string, closeWhenIdle func()) (*Session, statement.Result) {
+	if g.drainPhase() >= phaseEndingTransactions {
+		return nil, statement.Result{Code: statement.Busy, Detail: "the host is stopping", State: statement.Idle}
+	}
 	s := &Session{
 		gateway: g, database: database, key: key, closeWhenIdle: closeWhenIdle,
 		prepared: map[string]connpool.Prepared{},
@@ -104,34 +110,24 @@
 	}
 }
 
-// closeIfIdle closes the session unless a transaction is open or a statement is
-// running.
-func (s *Session) closeIfIdle() {
-	if !s.mu.TryLock() {
-		return
-	}
-	defer s.mu.Unlock()
-	if s.tx == nil && !s.failed && !s.closed {
-		s.closed = true
-		s.closeWhenIdle()
-	}
-}
-
 // Handle runs one statement whose first byte arrived at the given time. If closeConn
 // is true, the caller's connection must be closed after the answer has been sent.
 func (s *Session) Handle(st statement.Statement, arrived time.Time) (result statement.Result, closeConn bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := s.gateway
-	if s.closed {
+	if s.closed && !s.unreported {
 		return statement.Result{Code: statement.Busy, Detail: "session is closed", State: statement.Idle}, true
 	}
 	result = s.dispatch(st, arrived)
+	if g.interrupted() && !result.Succeeded() {
+		g.drainStats.interrupted.Inc(1)
+	}
 	result.State = s.state()
 	result.Position = position.Position{}
 	g.stats.result(result.Code)
 	g.stats.latency.Update(g.now().Sub(arrived).Microseconds())
-	closeConn = g.draining.Load() && s.tx == nil && !s.failed
+	closeConn = g.drainPhase() >= s.closableFrom()
 	s.closed = s.closed || closeConn
 	return result, closeConn
 }
@@ -147,6 +143,9 @@
 }
 
 func (s *Session) dispatch(st statement.Statement, arrived time.Time) statement.Result {
+	if s.gateway.drainPhase() >= phaseEndingTransactions {
+		return s.refuseStopping(st)
+	}
 	if s.failed {
 		return s.dispatchFailed(st)
 	}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -185,7 +185,7 @@
 func (tx *transaction) open(c call, deadline time.Time, a *attempts) (statement.Result, bool) {
 	op := tx.op
 	g := op.gateway()
-	for g.now().Before(deadline) {
+	for op.mayTry(deadline) {
 		t := tx.choose(a)
 		if t.server == nil {
 			if op.refuseEarly(t) || !op.pause(a, deadline) {
--- /dev/null
+++ b/internal/gatewayd/drain.go
@@ -0,0 +1,95 @@
+package gatewayd
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bramleylever/bramleylever/internal/drain"
+	"github.com/bramleylever/bramleylever/internal/gateway"
+	"github.com/bramleylever/bramleylever/internal/logging"
+)
+
+// drainPollInterval is how often a stopping host checks which step is due. It is also the
+// time in which the last replies leave the process.
+const drainPollInterval = 50 * time.Millisecond
+
+// leaseServer is the work of other hosts on this host's connections.
+type leaseServer interface {
+	// Drain refuses new leases.
+	Drain()
+	// Serving returns the number of leases.
+	Serving() int
+}
+
+// drainRun is a drain in progress.
+type drainRun struct {
+	daemon  *Daemon
+	gateway *gateway.Gateway
+	leases  leaseServer
+	started time.Time
+	state   drain.HostDrain
+}
+
+// drain stops the host within the grace time, in the steps of package drain: it reports
+// not ready, closes sessions between transactions once the load balancer sends no more
+// callers, then ends open transactions and the leases of other hosts, and interrupts what
+// still runs. unregistered is closed once the host is no longer registered.
+func (d *Daemon) drain(g *gateway.Gateway, leases leaseServer, unregistered <-chan struct{}) {
+	r := &drainRun{daemon: d, gateway: g, leases: leases, started: time.Now()}
+	r.state.Start(r.started, drain.Within(d.Settings().Grace, removalTime, 0))
+	for {
+		p := drain.Progress{Work: g.Sessions() + leases.Serving()}
+		select {
+		case <-unregistered:
+			p.HandedBack = r.state.Last() >= drain.StepHandBack
+		default:
+		}
+		for _, step := range r.state.Tick(time.Now(), p) {
+			r.run(step)
+		}
+		if r.state.Last() == drain.StepDone {
+			return
+		}
+		g.Sweep()
+		time.Sleep(drainPollInterval)
+	}
+}
+
+// run runs a step of the drain.
+func (r *drainRun) run(step drain.Step) {
+	r.log(step)
+	switch step {
+	case drain.StepNotReady:
+		r.daemon.ready.Store(false)
+		r.leases.Drain()
+	case drain.StepCloseIdle:
+		r.gateway.Drain()
+	case drain.StepEndTransactions:
+		r.gateway.EndTransactions()
+	case drain.StepInterrupt:
+		r.gateway.Interrupt()
+	}
+}
+
+// log logs what is open when a step begins. Work that is left at the last step is cut
+// off, which is an error.
+func (r *drainRun) log(step drain.Step) {
+	open, counts, leases := r.gateway.Usage(), r.gateway.DrainCounts(), r.leases.Serving()
+	fields := []zap.Field{
+		zap.Stringer(logging.FieldStep, step), zap.Int("sessions", open.Sessions), zap.Int("transactions", open.Transactions),
+		zap.Int("statements", open.Running), zap.Int("leases", leases), zap.Int64("aborted", counts.Aborted),
+		zap.Int64("refused", counts.Refused), zap.Int64("interrupted", counts.Interrupted),
+		zap.Duration("took", time.Since(r.started)),
+	}
+	switch {
+	case step == drain.StepNotReady:
+		r.daemon.log.Info("stop", fields...)
+	case step != drain.StepDone:
+		r.daemon.log.Info("stopping", fields...)
+	case open.Sessions > 0 || leases > 0:
+		r.daemon.log.Error("stop cuts work off", fields...)
+	default:
+		r.daemon.log.Info("stopped", fields...)
+	}
+}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -34,10 +34,6 @@
 	// removalTime is how long the load balancer takes to stop sending callers to a host
 	// that is not ready: it needs two probes, which are a second apart.
 	removalTime = 2200 * time.Millisecond
-	// drainPollInterval is how often a stopping host checks for remaining sessions.
-	drainPollInterval = 50 * time.Millisecond
-	// graceReserve is the part of the grace time that is reserved for the process exit.
-	graceReserve = 500 * time.Millisecond
 )
 
 // Reloadable holds the settings that may change while the daemon runs.
@@ -162,9 +158,7 @@
 		d.log.Info("ready", zap.Int64("config_version", c.follower.Snapshot().Config.Version))
 	}
 	<-ctx.Done()
-	c.router.Drain()
-	d.drain(c.gateway, c.router.Serving)
-	<-unregistered
+	d.drain(c.gateway, c.router, unregistered)
 	return nil
 }
 
@@ -210,27 +204,3 @@
 	current := snapshot.Servers[server.ID]
 	return current != nil && current.Started == server.Started && !current.Drained(time.Now()) && !snapshot.Evacuated[current.Domain]
 }
-
-// drain shuts the gateway down: it reports not ready, waits until the load balancer sends
-// no more callers, then closes idle sessions and waits for open transactions and for the
-// work of other hosts on this host's connections, within the grace time.
-func (d *Daemon) drain(g *gateway.Gateway, serving func() int) {
-	started := time.Now()
-	grace := d.Settings().Grace
-	d.ready.Store(false)
-	open := g.Usage()
-	d.log.Info("stop", zap.Int("sessions", open.Sessions), zap.Int("transactions", open.Transactions),
-		zap.Int("statements", open.Running), zap.Int("leases", serving()))
-	time.Sleep(min(removalTime, grace/3))
-	deadline := started.Add(grace - graceReserve)
-	for time.Now().Before(deadline) {
-		g.Drain()
-		if g.Sessions() == 0 && serving() == 0 {
-			break
-		}
-		time.Sleep(drainPollInterval)
-	}
-	left := g.Usage()
-	d.log.Info("stopped", zap.Int("sessions_left", left.Sessions), zap.Int("transactions_left", left.Transactions),
-		zap.Int("statements_left", left.Running), zap.Int("leases_left", serving()), zap.Duration("took", time.Since(started)))
-}
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(h.router.work)
 	timer := time.AfterFunc(timeout, cancel)
 	stream, err := peerv1.NewRelayClient(conn).Lease(ctx)
 	if !timer.Stop() && err == nil {
@@ -75,6 +75,8 @@
 	reply, err := h.stream.Recv()
 	switch {
 	case err == nil:
+	case h.router.work.Err() != nil:
+		return connpool.Answer{}, h.wrap(err)
 	case !time.Now().Before(deadline) && !watch.gaveUp():
 		// The owner answers pings, so the work itself took too long.
 		return connpool.Answer{}, h.wrap(err)
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -76,6 +76,10 @@
 	draining atomic.Bool
 	// serving is the number of leases of other hosts.
 	serving atomic.Int64
+	// work ends when the work at other hosts must end.
+	work          context.Context
+	interruptWork context.CancelFunc
+
 	relayed metrics.Counter
 	direct  metrics.Counter
 
@@ -111,7 +115,9 @@
 
 // NewRouter returns a router; Register makes it an owner for other hosts.
 func NewRouter(o Options) *Router {
+	work, interrupt := context.WithCancel(context.Background())
 	return &Router{
+		work: work, interruptWork: interrupt,
 		options: o, now: time.Now, avoid: map[string]avoidance{}, avoidedPairs: map[pair]time.Time{}, loads: map[string]load{},
 		relayed: metrics.GetOrRegisterCounter("relay.leases_count", o.Registry),
 		direct:  metrics.GetOrRegisterCounter("relay.direct_count", o.Registry),
@@ -132,6 +138,12 @@
 // Serving returns the number of leases that other hosts have of this host's connections.
 func (r *Router) Serving() int { return int(r.serving.Load()) }
 
+// Interrupt implements connpool.Source.
+func (r *Router) Interrupt() {
+	r.options.Pool.Interrupt()
+	r.interruptWork()
+}
+
 const (
 	// connsPerOwner is the number of connections that an owner should have, so that it
 	// rarely has to close a connection of one account to open one for another.
