relay: a stopping owner ends the leases of other hosts with a word

Seen by callers: in a planned stop of the host that owns an instance's connections, callers of other hosts got INDOUBT for a commit, although nothing had failed: the owner kept serving their transactions and then ended the stream without a reply. Leases of other hosts had no last moment; Router.Drain refused new ones only. Change: with its own transactions, a stopping host ends the leases. An idle one gets the reply "leaving, not run" at once, and its connection is closed, which rolls the transaction back; one with work under way gets it after the reply to that work. After it nothing of the lease is run, so a request that crosses it on the way did not run either, and the other host answers its caller with ABORTED. The requesting host reads the last reply also if the stream has ended.

--- a/internal/gatewayd/drain.go
+++ b/internal/gatewayd/drain.go
@@ -18,6 +18,8 @@
 type leaseServer interface {
 	// Drain refuses new leases.
 	Drain()
+	// EndLeases ends the leases, each at once or after the work that is under way.
+	EndLeases()
 	// Serving returns the number of leases.
 	Serving() int
 }
@@ -67,6 +69,7 @@
 		r.gateway.Drain()
 	case drain.StepEndTransactions:
 		r.gateway.EndTransactions()
+		r.leases.EndLeases()
 	case drain.StepInterrupt:
 		r.gateway.Interrupt()
 	}
--- a/internal/gatewayd/drain_test.go
+++ b/internal/gatewayd/drain_test.go
@@ -16,10 +16,11 @@
 	"github.com/bramleylever/bramleylever/internal/reachability"
 )
 
-// fakeLeases is the work of other hosts. refused is the number of calls of Drain.
-type fakeLeases struct{ open, refused atomic.Int64 }
+// fakeLeases is the work of other hosts. ended is the number of calls of EndLeases.
+type fakeLeases struct{ open, refused, ended atomic.Int64 }
 
 func (f *fakeLeases) Drain()       { f.refused.Add(1) }
+func (f *fakeLeases) EndLeases()   { f.ended.Add(1) }
 func (f *fakeLeases) Serving() int { return int(f.open.Load()) }
 
 // newIdleGateway returns a gateway without sessions.
@@ -57,6 +58,7 @@
 		d.drain(newIdleGateway(), leases, unregistered())
 		Expect(time.Now()).To(BeTemporally(">=", <-ended))
 		Expect(leases.refused.Load()).To(Equal(int64(1)))
+		Expect(leases.ended.Load()).To(Equal(int64(1)))
 	})
 
 	// Guards against a stop that outlasts its grace time because of a peer that keeps a
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"sync"
 	"time"
 
@@ -68,11 +69,7 @@
 	defer timer.Stop()
 	watch := h.watch()
 	defer watch.stop()
-	if err := h.stream.Send(request); err != nil {
-		h.router.ownerFailed(h.owner, err)
-		return connpool.Answer{}, h.ownerUnreached(err)
-	}
-	reply, err := h.stream.Recv()
+	reply, err := h.exchange(request)
 	switch {
 	case err == nil:
 	case h.router.work.Err() != nil:
@@ -87,6 +84,20 @@
 	return h.handleReply(reply)
 }
 
+// exchange sends a request and receives the reply. An owner that is stopping may have
+// ended the lease and its stream before; its last reply is then the one to this request.
+func (h *remoteHandle) exchange(request *peerv1.LeaseRequest) (*peerv1.LeaseReply, error) {
+	sendErr := h.stream.Send(request)
+	if sendErr != nil && !errors.Is(sendErr, io.EOF) {
+		return nil, sendErr
+	}
+	reply, err := h.stream.Recv()
+	if err == nil && sendErr != nil && !reply.GetLeaving() {
+		return nil, sendErr
+	}
+	return reply, err
+}
+
 // handleReply turns a reply into an answer or an error.
 func (h *remoteHandle) handleReply(reply *peerv1.LeaseReply) (connpool.Answer, error) {
 	answer := fromReply(reply)
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -74,14 +74,19 @@
 	now      func() time.Time
 	sampler  Sampler
 	draining atomic.Bool
-	// serving is the number of leases of other hosts.
-	serving atomic.Int64
+	// opening is the number of leases of other hosts that wait for a connection.
+	opening atomic.Int64
+	// leasesEnded says that the leases of other hosts have to end.
+	leasesEnded atomic.Bool
+	leaseMu     sync.Mutex
+	leases      map[*lease]struct{}
 	// work ends when the work at other hosts must end.
 	work          context.Context
 	interruptWork context.CancelFunc
 
-	relayed metrics.Counter
-	direct  metrics.Counter
+	relayed     metrics.Counter
+	direct      metrics.Counter
+	endedLeases metrics.Counter
 
 	mu    sync.Mutex
 	avoid map[string]avoidance
@@ -117,10 +122,12 @@
 func NewRouter(o Options) *Router {
 	work, interrupt := context.WithCancel(context.Background())
 	return &Router{
-		work: work, interruptWork: interrupt,
+		work: work, interruptWork: interrupt, leases: map[*lease]struct{}{},
 		options: o, now: time.Now, avoid: map[string]avoidance{}, avoidedPairs: map[pair]time.Time{}, loads: map[string]load{},
 		relayed: metrics.GetOrRegisterCounter("relay.leases_count", o.Registry),
 		direct:  metrics.GetOrRegisterCounter("relay.direct_count", o.Registry),
+
+		endedLeases: metrics.GetOrRegisterCounter("relay.drain_leases_ended_count", o.Registry),
 	}
 }
 
@@ -135,9 +142,6 @@
 // owner.
 func (r *Router) Drain() { r.draining.Store(true) }
 
-// Serving returns the number of leases that other hosts have of this host's connections.
-func (r *Router) Serving() int { return int(r.serving.Load()) }
-
 // Interrupt implements connpool.Source.
 func (r *Router) Interrupt() {
 	r.options.Pool.Interrupt()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -43,18 +43,24 @@
 	}
 	r.options.Hint(first.GetOpen().GetRevisions())
 	if r.draining.Load() {
-		return stream.Send(&peerv1.LeaseReply{Leaving: true, NotRun: true, Error: "host is stopping"})
+		return stream.Send(leavingReply())
 	}
-	r.serving.Add(1)
-	defer r.serving.Add(-1)
+	r.opening.Add(1)
 	handle, err := r.openLease(stream.Context(), first)
 	if err != nil {
+		r.opening.Add(-1)
 		reply := failureReply(&connpool.Answer{}, err)
 		reply.NotRun = true
 		return stream.Send(reply)
 	}
-	defer handle.Release()
+	l := r.addLease(stream, handle)
+	r.opening.Add(-1)
+	defer l.close()
 	for request := first; ; {
+		if !l.start() {
+			// The other host has been told that this request is not run.
+			return nil
+		}
 		deadline := r.now().Add(time.Duration(request.GetRemainingMs()) * time.Millisecond)
 		answer, err := handle.Do(deadline, fromRequest(request))
 		reply := toReply(&answer)
@@ -62,7 +68,7 @@
 			reply = failureReply(&answer, err)
 		}
 		reply.Revisions = r.options.Revisions()
-		if err := stream.Send(reply); err != nil {
+		if err := l.reply(reply); err != nil {
 			return err
 		}
 		if request, err = stream.Recv(); err != nil {
