proxy: the drain of PostgreSQL sessions has a last moment for requests too

Seen by callers of the product's own interface: a session with an open transaction could send requests until drain.timeout; what ran then was interrupted, a commit with an unknown outcome. Change: drain.Run runs the steps for both daemons. The frontend gets EndTransactions: at half of drain.timeout an idle transaction is rolled back and its session ends with 57P01, as does a session whose running request has ended; later requests are refused as not run. The proxy interrupts what still runs while there is time left to hand its duties back, and its exit is an error if it had to.

--- a/internal/cli/proxy.go
+++ b/internal/cli/proxy.go
@@ -50,5 +50,5 @@
 	}
 	fmt.Fprintf(env.out, "callers %s\npeers %s\nadmin %s\n", p.CallerAddress(), p.PeerAddress(), p.AdminAddress())
 	<-ctx.Done()
-	return p.Drain(context.Background())
+	return p.Drain()
 }
--- a/internal/deployment/hosts.go
+++ b/internal/deployment/hosts.go
@@ -1,7 +1,6 @@
 package deployment
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/netip"
@@ -118,10 +117,10 @@
 }
 
 // DrainHost drains a host's proxy, which then stops.
-func (d *Deployment) DrainHost(ctx context.Context, host *Host) error {
+func (d *Deployment) DrainHost(host *Host) error {
 	p := host.Proxy
 	host.Proxy = nil
-	return p.Drain(ctx)
+	return p.Drain()
 }
 
 // waitReady waits until every running proxy is ready and knows a primary of
--- a/internal/drain/host.go
+++ b/internal/drain/host.go
@@ -94,7 +94,8 @@
 	// Work is the number of open caller sessions and of other hosts' uses of this
 	// host's connections.
 	Work int
-	// HandedBack is set once StepHandBack has completed.
+	// HandedBack is set once the duties are handed back. It has no effect before
+	// StepHandBack.
 	HandedBack bool
 }
 
--- /dev/null
+++ b/internal/drain/run.go
@@ -0,0 +1,30 @@
+package drain
+
+import "time"
+
+// pollInterval is how often Run checks which step is due. It is also the time in which the
+// last answers leave the process.
+const pollInterval = 50 * time.Millisecond
+
+// Host is the host that Run drains.
+type Host interface {
+	// Poll returns the state of the drain. It is called before each decision.
+	Poll() Progress
+	// Do runs a step. Only StepInterrupt may wait for the statements that it interrupts.
+	Do(Step)
+}
+
+// Run drains a host: it runs each step when it is due, and returns after StepDone.
+func Run(p Plan, h Host) {
+	var state HostDrain
+	state.Start(time.Now(), p)
+	for {
+		for _, step := range state.Tick(time.Now(), h.Poll()) {
+			h.Do(step)
+		}
+		if state.Last() == StepDone {
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+}
--- a/internal/drain/weight.go
+++ b/internal/drain/weight.go
@@ -1,8 +1,8 @@
 // Package drain takes hosts and database instances out of service without interrupting
 // requests, and raises the load on returning instances gradually.
 //
-// Invariant: a leaving instance has weight 0, and a draining host never accepts new work
-// again.
+// Invariants: a leaving instance has weight 0; a draining host accepts work only while there
+// is time for it to end before the host does.
 package drain
 
 import (
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -39,9 +39,13 @@
 	}
 }
 
-// admit checks the key and, for a batch that runs statements, the rate limit of
-// the client account. The end of a transaction is exempt from the rate limit.
+// admit checks that a drain still accepts requests, the key and, for a batch that runs
+// statements, the rate limit of the client account. The end of a transaction is exempt
+// from the rate limit.
 func (s *session) admit(p *plan) *sqlError {
+	if s.srv.endingTransactions.Load() {
+		return s.drainEnd()
+	}
 	l := s.login.Load()
 	if refused := s.srv.checkLogin(l, s.srv.cfg.Feed.Current()); refused != nil {
 		return refused
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -36,15 +35,17 @@
 	// probing is the set of instances with a probe in progress.
 	probing sync.Map
 
-	mu          sync.Mutex
-	listeners   map[net.Listener]struct{}
-	sessions    map[uint32]*session
-	nextPID     uint32
-	draining    atomic.Bool
-	closed      bool
-	stop        chan struct{}
-	workers     sync.WaitGroup
-	unsubscribe func()
+	mu        sync.Mutex
+	listeners map[net.Listener]struct{}
+	sessions  map[uint32]*session
+	nextPID   uint32
+	draining  atomic.Bool
+	// endingTransactions is set by EndTransactions.
+	endingTransactions atomic.Bool
+	closed             bool
+	stop               chan struct{}
+	workers            sync.WaitGroup
+	unsubscribe        func()
 	// leaving reports for each instance whether it was leaving in the last
 	// snapshot.
 	leaving map[string]bool
@@ -200,27 +201,24 @@
 }
 
 // Drain stops accepting callers and closes each session once it is idle at a
-// transaction boundary. It returns when all sessions have ended. If ctx ends
-// first, it closes the remaining sessions and returns the error of ctx.
-func (s *Server) Drain(ctx context.Context) error {
+// transaction boundary. It does not wait for that.
+func (s *Server) Drain() {
 	s.stopListening()
+	s.wakeAll()
+}
+
+// EndTransactions rolls back the open transactions of a draining server as soon as
+// no request of theirs is running, and closes their sessions with an error that says
+// so. Requests that arrive later are refused as not run.
+func (s *Server) EndTransactions() {
+	s.endingTransactions.Store(true)
+	s.wakeAll()
+}
+
+func (s *Server) wakeAll() {
 	for _, ses := range s.allSessions() {
 		ses.wake()
 	}
-	ticker := time.NewTicker(10 * time.Millisecond)
-	defer ticker.Stop()
-	for s.Sessions() > 0 {
-		select {
-		case <-ctx.Done():
-			left := s.Sessions()
-			s.cfg.Logger.Warn("drain ended with open sessions", zap.Int("sessions", left))
-			s.Close()
-			return ctx.Err()
-		case <-ticker.C:
-		}
-	}
-	s.Close()
-	return nil
 }
 
 func (s *Server) stopListening() {
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -142,8 +142,8 @@
 		return true
 	}
 	idle := s.in.Buffered() == 0 && len(s.st.batch.messages) == 0
-	if idle && s.atBoundary() && s.drainGraceGiven {
-		s.fatal(&sqlError{"57P01", "not run: terminating connection because the proxy drains"})
+	if ending := s.drainEnd(); idle && ending != nil && s.drainGraceGiven {
+		s.fatal(ending)
 		return true
 	}
 	s.drainGraceGiven = true
@@ -151,6 +151,18 @@
 	return false
 }
 
+// drainEnd returns the error with which a drain closes the session between two
+// requests, or nil if the session goes on: its open transaction may still end.
+func (s *session) drainEnd() *sqlError {
+	switch {
+	case s.atBoundary():
+		return &sqlError{"57P01", "not run: terminating connection because the proxy drains"}
+	case s.srv.endingTransactions.Load():
+		return &sqlError{"57P01", "not run: the transaction is rolled back because the proxy drains"}
+	}
+	return nil
+}
+
 func (s *session) handleReadError(err error) {
 	if errors.Is(err, wire.ErrTooLarge) || errors.Is(err, wire.ErrMalformed) {
 		s.fatal(readFailure(err))
--- a/internal/gatewayd/drain.go
+++ b/internal/gatewayd/drain.go
@@ -10,10 +10,6 @@
 	"github.com/bramleylever/bramleylever/internal/logging"
 )
 
-// drainPollInterval is how often a stopping host checks which step is due. It is also the
-// time in which the last replies leave the process.
-const drainPollInterval = 50 * time.Millisecond
-
 // leaseServer is the work of other hosts on this host's connections.
 type leaseServer interface {
 	// Drain refuses new leases.
@@ -24,13 +20,14 @@
 	Serving() int
 }
 
-// drainRun is a drain in progress.
+// drainRun is a drain in progress. It implements drain.Host.
 type drainRun struct {
 	daemon  *Daemon
 	gateway *gateway.Gateway
 	leases  leaseServer
-	started time.Time
-	state   drain.HostDrain
+	// unregistered is closed once the host is no longer registered.
+	unregistered <-chan struct{}
+	started      time.Time
 }
 
 // drain stops the host within the grace time, in the steps of package drain: it reports
@@ -38,28 +35,24 @@
 // callers, then ends open transactions and the leases of other hosts, and interrupts what
 // still runs. unregistered is closed once the host is no longer registered.
 func (d *Daemon) drain(g *gateway.Gateway, leases leaseServer, unregistered <-chan struct{}) {
-	r := &drainRun{daemon: d, gateway: g, leases: leases, started: time.Now()}
-	r.state.Start(r.started, drain.Within(d.Settings().Grace, removalTime, 0))
-	for {
-		p := drain.Progress{Work: g.Sessions() + leases.Serving()}
-		select {
-		case <-unregistered:
-			p.HandedBack = r.state.Last() >= drain.StepHandBack
-		default:
-		}
-		for _, step := range r.state.Tick(time.Now(), p) {
-			r.run(step)
-		}
-		if r.state.Last() == drain.StepDone {
-			return
-		}
-		g.Sweep()
-		time.Sleep(drainPollInterval)
+	r := &drainRun{daemon: d, gateway: g, leases: leases, unregistered: unregistered, started: time.Now()}
+	drain.Run(drain.Within(d.Settings().Grace, removalTime, 0), r)
+}
+
+// Poll implements drain.Host.
+func (r *drainRun) Poll() drain.Progress {
+	r.gateway.Sweep()
+	p := drain.Progress{Work: r.gateway.Sessions() + r.leases.Serving()}
+	select {
+	case <-r.unregistered:
+		p.HandedBack = true
+	default:
 	}
+	return p
 }
 
-// run runs a step of the drain.
-func (r *drainRun) run(step drain.Step) {
+// Do implements drain.Host.
+func (r *drainRun) Do(step drain.Step) {
 	r.log(step)
 	switch step {
 	case drain.StepNotReady:
