promotion: a log that the newest term left is behind, however long it is

Cause: mostAdvanced compared received positions only; nothing recorded where a term began. The store keeps the terms of each service with their beginnings; an unplanned promotion records it before its order. A restored store gets the record again from the hosts that had the duty. Ruled out: session positions and AFTER, which name a term; internal/failover, whose order by the term of the last entry holds on a majority (now the same comparison, without history).

--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -157,11 +157,13 @@
 	if len(reached) >= c.majority() {
 		raised = reached
 	}
+	// A term begins only on a majority, so the log with the newest term is never one that
+	// was left, and the order needs no history.
+	var order position.History
 	return slices.MaxFunc(raised, func(x, y Instance) int {
 		sx, sy := a.raised[x.Name], a.raised[y.Name]
 		return cmp.Or(
-			sx.LastLogTerm.Compare(sy.LastLogTerm),
-			cmp.Compare(sx.Received, sy.Received),
+			order.CompareEnds(position.Position{Term: sx.LastLogTerm, LSN: sx.Received}, position.Position{Term: sy.LastLogTerm, LSN: sy.Received}),
 			compareBool(x.Name == a.target, y.Name == a.target),
 			compareBool(!x.Leaving, !y.Leaving),
 			cmp.Compare(c.domainsReaching(now, x.Name), c.domainsReaching(now, y.Name)),
--- a/internal/promotion/decide.go
+++ b/internal/promotion/decide.go
@@ -115,14 +115,14 @@
 	return newest
 }
 
-// mostAdvanced returns the replica with the highest received position, or nil.
-func mostAdvanced(found []Candidate) *Candidate {
+// mostAdvanced returns the replica that has most of the log of the newest term, or nil.
+func mostAdvanced(found []Candidate, history position.History) *Candidate {
 	var best *Candidate
 	for i := range found {
 		if found[i].Primary {
 			continue
 		}
-		if best == nil || found[i].Received.Compare(best.Received) > 0 {
+		if best == nil || history.CompareEnds(found[i].Received, best.Received) > 0 {
 			best = &found[i]
 		}
 	}
--- a/internal/promotion/duty.go
+++ b/internal/promotion/duty.go
@@ -82,7 +82,7 @@
 		}
 		r.expectLostOrder(service, state)
 	}
-	state.token, state.lease = revision, id
+	state.token, state.lease, state.history.read = revision, id, false
 	r.options.Log.Info("promotion duty taken", zap.String(logging.FieldDecision, "take_duty"),
 		zap.String("service", service), zap.Int64("token", revision))
 	return true
--- a/internal/promotion/order.go
+++ b/internal/promotion/order.go
@@ -28,7 +28,11 @@
 // promotion.
 func (r *Runner) promote(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot, primary *catalog.Server, reason Reason) {
 	started := r.now()
-	plan, err := r.plan(ctx, service, state, snapshot, primary)
+	var plan promotionPlan
+	err := r.loadHistory(ctx, service, &state.history)
+	if err == nil {
+		plan, err = r.plan(ctx, service, state, snapshot, primary)
+	}
 	plan.planned = reason == Draining || reason == Evacuated
 	switch {
 	case err != nil:
@@ -43,6 +47,9 @@
 	case !r.options.Fenced():
 		err = r.handOver(ctx, service, state, primary, plan)
 	}
+	if err == nil {
+		err = r.recordBeginning(ctx, service, state, plan)
+	}
 	if err == nil && !r.holdsDuty(state) {
 		err = fmt.Errorf("order promotion: the lease of the duty ends: %w", ErrSuperseded)
 	}
@@ -56,6 +63,7 @@
 	switch {
 	case err == nil:
 		state.promotedAt = r.now()
+		r.recordOrdered(ctx, service, state, &plan)
 	case errors.Is(err, ErrSuperseded):
 		r.releaseDuty(ctx, service, state)
 	default:
@@ -123,8 +131,12 @@
 		}
 	}
 	plan := promotionPlan{epoch: max(newestEpoch(reports), r.options.LeaderEpoch(service), closed)}
+	state.history.observe(plan.epoch)
 	replicas := len(snapshot.Groups[service]) - 1
 	target, err := r.pendingFirst(state, reports)
+	if err == nil && target != nil {
+		err = r.checkNewestTerm(service, state, target)
+	}
 	if err != nil {
 		return plan, err
 	}
@@ -147,7 +159,7 @@
 // that it named may be ordered.
 func (r *Runner) pendingFirst(state *serviceState, reports []Candidate) (*Candidate, error) {
 	if r.options.Fenced() || state.pendingTarget == "" || !r.now().Before(state.pendingUntil) {
-		return mostAdvanced(reports), nil
+		return mostAdvanced(reports, state.history.History), nil
 	}
 	for i := range reports {
 		if reports[i].Server.ID == state.pendingTarget {
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -160,6 +160,8 @@
 	// closedEpoch is the newest term of which this host knows that no host uses its
 	// leader.
 	closedEpoch uint64
+	// history is what this host knows of the service's terms.
+	history termHistory
 }
 
 // New returns a runner; Run starts it.
@@ -233,6 +235,8 @@
 // step checks the primary of one service and replaces it if there is a reason.
 func (r *Runner) step(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot) {
 	r.observeGeneration()
+	r.restoreHistory(ctx, service, &state.history)
+	r.confirmBeginning(ctx, service, state)
 	primary := r.currentPrimary(snapshot, service)
 	reason := plannedReason(snapshot, primary)
 	if reason == NoReason {
--- a/position/history.go
+++ b/position/history.go
@@ -83,3 +83,42 @@
 	}
 	return limit
 }
+
+// Includes reports whether a log that ends at end is part of the history, as far as the
+// history tells: a term that is newer than the last one listed may be part of it.
+func (h History) Includes(end Position) bool {
+	return len(h) == 0 || h[len(h)-1].Term.Less(end.Term) || h.Contains(end)
+}
+
+// CompareEnds orders logs by their ends, for the choice of the next primary: -1, 0 or 1 if
+// the log that ends at a is behind, equal to or ahead of the one that ends at b. A log
+// whose end the history does not include is behind every log that is part of it, however
+// long it is: its last entries were given up when a later term began, and sessions have
+// gone on without them. Without a history, the order is that of Position.Compare.
+func (h History) CompareEnds(a, b Position) int {
+	switch inA, inB := h.Includes(a), h.Includes(b); {
+	case inA && !inB:
+		return 1
+	case inB && !inA:
+		return -1
+	}
+	return a.Compare(b)
+}
+
+// Extend returns the history of the log of a primary that leads the term t and whose log
+// ended at end before that. Terms that are not part of that log are dropped.
+func (h History) Extend(t Term, end Position) History {
+	var kept History
+	for _, s := range h {
+		if s.Term.Compare(end.Term) <= 0 && s.Start <= end.LSN {
+			kept = append(kept, s)
+		}
+	}
+	if len(kept) == 0 {
+		kept = append(kept, TermStart{Term: end.Term})
+	} else if kept[len(kept)-1].Term.Less(end.Term) {
+		// The start of that term is not known; it was at the end at the latest.
+		kept = append(kept, TermStart{Term: end.Term, Start: end.LSN})
+	}
+	return kept.Append(t, end.LSN)
+}
