promotion: a lost answer of the store does not end promotions

Cause: an unknown outcome was taken for a failure, and the conflict with the own key after it for another host's duty, which the host's own lease kept alive. releaseDuty forgot its token also if the store had not taken the release. Change: platform.CreateOwned looks at a conflict; a key with this process's value is written again and gets a new revision, so a token is never used twice. A host that may hold a duty without knowing looks for it for 9 s. platform.OwnedKey gives suspicions and registrations writes that name the revision of the one before, so that one that is carried out late has no effect. Ruled out: hand-over records and term histories (under the duty's condition, repeated with the same content), allocations of limits (the lower value applies until the answer).

--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -61,6 +61,8 @@
 	store platform.Store
 	log   *zap.Logger
 	now   func() time.Time
+	// entry is this host's registration.
+	entry platform.OwnedKey
 	// reconnected is called when the store answers again after a failed call.
 	reconnected func()
 	// alive reports whether a host was running recently, whatever the store says.
@@ -89,7 +91,7 @@
 // New returns the registry for a host; Run registers it.
 func New(self Host, store platform.Store, log *zap.Logger) *Registry {
 	return &Registry{
-		self: self, store: store, log: log, now: time.Now,
+		self: self, store: store, log: log, now: time.Now, entry: platform.OwnedKey{Key: Prefix + self.Name},
 		reconnected: func() {}, alive: func(string) bool { return false }, clock: lease.New(lease.DefaultMargin), known: map[string]hostState{self.Name: {Host: self}},
 	}
 }
@@ -333,8 +335,8 @@
 	if err != nil {
 		return err
 	}
-	_, err = r.store.Txn(ctx, platform.Txn{Puts: []platform.Put{{Key: Prefix + r.self.Name, Value: value, Lease: id}}})
-	if err != nil {
+	// A registration that is carried out late must not bind the entry to its older lease.
+	if err := r.entry.Put(ctx, r.store, value, id); err != nil {
 		return err
 	}
 	r.mu.Lock()
--- a/internal/hosts/registry_test.go
+++ b/internal/hosts/registry_test.go
@@ -123,3 +123,22 @@
 		Expect(item.ModRevision).NotTo(BeZero())
 	})
 })
+
+var _ = Describe("Registry and a store that carries out a write late", func() {
+	// Guards against a registration that is bound to an older lease, with whose end the
+	// host is gone for the others although it renews its newer one.
+	It("keeps the entry under the lease that it renews", func() {
+		memory := platformtest.NewMemory(nil)
+		registry := New(Host{Name: "self", Domain: "d0"}, memory, zap.NewNop())
+		ctx := context.Background()
+		memory.SetFault(platformtest.Fault{Postpone: true})
+		Expect(registry.renewOrRegister(ctx)).NotTo(Succeed())
+		memory.SetFault(platformtest.Fault{})
+		Expect(registry.renewOrRegister(ctx)).To(Succeed())
+		memory.RunPostponed()
+		lease, _ := registry.Lease()
+		item, _, err := memory.Get(ctx, Prefix+"self")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(item.Lease).To(Equal(lease))
+	})
+})
--- a/internal/platform/platformtest/memory.go
+++ b/internal/platform/platformtest/memory.go
@@ -27,6 +27,7 @@
 	nextLease platform.LeaseID
 	changed   chan struct{}
 	fault     Fault
+	postponed []platform.Txn
 	calls     int
 	// generation is 1 plus the number of times that the store has come back from a copy.
 	// Revisions are kept as their numbers within it.
@@ -92,6 +93,9 @@
 	Err error
 	// LoseAnswers makes each Txn take effect but return ErrOutcomeUnknown.
 	LoseAnswers bool
+	// Postpone makes each Txn return ErrOutcomeUnknown at once and take effect, if its
+	// compares still hold, in RunPostponed.
+	Postpone bool
 }
 
 type memoryLease struct {
@@ -220,9 +224,35 @@
 	if err := m.beginCall(); err != nil {
 		return 0, err
 	}
+	if m.fault.Postpone {
+		m.postponed = append(m.postponed, txn)
+		return 0, platform.ErrOutcomeUnknown
+	}
 	if err := m.validate(txn); err != nil {
 		return 0, err
 	}
+	m.apply(txn)
+	if m.fault.LoseAnswers {
+		return 0, platform.ErrOutcomeUnknown
+	}
+	return m.composed(m.revision), nil
+}
+
+// RunPostponed carries out the transactions that were postponed, as far as their compares
+// still hold.
+func (m *Memory) RunPostponed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, txn := range m.postponed {
+		if m.validate(txn) == nil {
+			m.apply(txn)
+		}
+	}
+	m.postponed = nil
+}
+
+// apply carries out a transaction. The caller holds the lock.
+func (m *Memory) apply(txn platform.Txn) {
 	var events []platform.Event
 	for _, p := range txn.Puts {
 		kv := platform.KeyValue{Key: p.Key, Value: slices.Clone(p.Value), ModRevision: m.revision + 1, Lease: p.Lease}
@@ -235,10 +265,6 @@
 		}
 	}
 	m.commit(events)
-	if m.fault.LoseAnswers {
-		return 0, platform.ErrOutcomeUnknown
-	}
-	return m.composed(m.revision), nil
 }
 
 // validate returns the error with which the store rejects a transaction, if any.
--- a/internal/promotion/duty.go
+++ b/internal/promotion/duty.go
@@ -1,6 +1,7 @@
 package promotion
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,17 +20,23 @@
 func (r *Runner) recordSuspicion(ctx context.Context, service string, state *serviceState, suspected string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key := suspicionPrefix + service + "/" + r.options.Host
-	txn := platform.Txn{Deletes: []string{key}}
+	key := &state.suspicion
+	key.Key = suspicionPrefix + service + "/" + r.options.Host
 	id, valid := r.options.Lease()
-	if suspected != "" {
-		value, err := json.Marshal(Suspicion{Host: r.options.Host, Domain: r.options.Domain, Server: suspected})
-		if err != nil || valid <= 0 {
+	var err error
+	if suspected == "" && !key.MayBeLate() {
+		err = key.Delete(ctx, r.options.Store)
+	} else {
+		if valid <= 0 {
 			return
 		}
-		txn = platform.Txn{Puts: []platform.Put{{Key: key, Value: value, Lease: id}}}
+		// One that names no instance withdraws an earlier one.
+		var value []byte
+		if value, err = json.Marshal(Suspicion{Host: r.options.Host, Domain: r.options.Domain, Server: suspected}); err != nil {
+			return
+		}
+		err = key.Put(ctx, r.options.Store, value, id)
 	}
-	_, err := r.options.Store.Txn(ctx, txn)
 	r.options.Log.Info("primary suspected", zap.String(logging.FieldDecision, "suspect_primary"),
 		zap.String("service", service), zap.String(logging.FieldInstance, suspected),
 		zap.String("suspected_before", state.reportedSuspect), zap.Error(err))
@@ -60,16 +67,13 @@
 	state.acquireAfter = now.Add(acquireInterval)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key := dutyPrefix + service
-	revision, err := r.options.Store.Txn(ctx, platform.Txn{
-		Compares: []platform.Compare{{Key: key}},
-		Puts:     []platform.Put{{Key: key, Value: []byte(r.options.Host), Lease: id}},
-	})
+	revision, err := platform.CreateOwned(ctx, r.options.Store, platform.Put{Key: dutyPrefix + service, Value: r.identity, Lease: id})
 	if err != nil {
 		if errors.Is(err, platform.ErrConflict) {
 			hosts, _ := r.options.Hosts()
 			state.acquireAfter = now.Add(acquireInterval + time.Duration(hosts)*conflictDelayPerHost)
 		} else {
+			state.doubtDuty(now)
 			r.options.Log.Warn("could not take the promotion duty", zap.String(logging.FieldStep, "take duty"),
 				zap.String("service", service), zap.Error(err))
 		}
@@ -91,7 +95,9 @@
 // unknownTarget stands for the target of an order that could not be read.
 const unknownTarget = "unknown"
 
-// releaseDuty gives up the duty for a service. The next holder gets a higher token.
+// releaseDuty gives up the duty for a service. The next holder gets a higher token. If the
+// store does not take the release, this host finds its key when it acts again, and takes
+// the duty with a higher token.
 func (r *Runner) releaseDuty(ctx context.Context, service string, state *serviceState) {
 	token := state.token
 	state.token, state.orderedInstance = 0, ""
@@ -101,10 +107,55 @@
 	_, err := r.options.Store.Txn(ctx, platform.Txn{
 		Compares: []platform.Compare{{Key: key, ModRevision: token}}, Deletes: []string{key},
 	})
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		state.doubtDuty(r.now())
+	}
 	r.options.Log.Info("promotion duty released", zap.String(logging.FieldDecision, "give_up_duty"),
 		zap.String("service", service), zap.Int64("token", token), zap.Error(err))
 }
 
+const (
+	// dutyCheckInterval is how often a host looks for a duty that it may hold without
+	// knowing, and lateWriteTime for how long after a write without an answer.
+	dutyCheckInterval = time.Second
+	lateWriteTime     = 8 * time.Second
+)
+
+// doubtDuty makes the host look for a while whether the store says that it holds the duty.
+func (s *serviceState) doubtDuty(now time.Time) {
+	s.checkDutyAt, s.checkDutyUntil = now.Add(dutyCheckInterval), now.Add(lateWriteTime+dutyCheckInterval)
+}
+
+// checkDuty gives up a duty that this host holds without knowing: the creation of its key
+// was carried out late, or its deletion not at all. Nobody else could take it.
+func (r *Runner) checkDuty(ctx context.Context, service string, state *serviceState) {
+	now := r.now()
+	if state.checkDutyAt.IsZero() || now.Before(state.checkDutyAt) {
+		return
+	}
+	state.checkDutyAt = now.Add(dutyCheckInterval)
+	if !now.Before(state.checkDutyUntil) {
+		state.checkDutyAt = time.Time{}
+	}
+	if state.token != 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := dutyPrefix + service
+	item, _, err := r.options.Store.Get(ctx, key)
+	if err == nil && bytes.Equal(item.Value, r.identity) {
+		_, err = r.options.Store.Txn(ctx, platform.Txn{
+			Compares: []platform.Compare{{Key: key, ModRevision: item.ModRevision}}, Deletes: []string{key},
+		})
+		r.options.Log.Info("promotion duty released that was held without knowing", zap.String(logging.FieldDecision, "give_up_duty"),
+			zap.String("service", service), zap.Int64("token", item.ModRevision), zap.Error(err))
+	}
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		state.doubtDuty(now)
+	}
+}
+
 // suspicionsHaveQuorum reports whether enough hosts cannot reach the primary.
 func (r *Runner) suspicionsHaveQuorum(ctx context.Context, service string, state *serviceState, primary *catalog.Server) bool {
 	now := r.now()
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -117,6 +118,9 @@
 	options Options
 	now     func() time.Time
 	orders  metrics.Counter
+	// identity is the value of the duties of this process. A process of the same host
+	// before or after it has another one.
+	identity []byte
 
 	mu       sync.Mutex
 	services map[string]*serviceState
@@ -133,6 +137,7 @@
 	// reportedLease the lease to which the suspicion is bound.
 	reportedSuspect string
 	reportedLease   platform.LeaseID
+	suspicion       platform.OwnedKey
 	missingSince    time.Time
 	// reason is why the primary is to be replaced, since reasonSince. turnDelay is how
 	// long this host waits before it acts on it.
@@ -149,6 +154,10 @@
 	// host's lease to which the duty is bound.
 	token int64
 	lease platform.LeaseID
+	// checkDutyAt is when this host looks again whether it holds the duty without knowing;
+	// zero if it need not. It does so until checkDutyUntil.
+	checkDutyAt    time.Time
+	checkDutyUntil time.Time
 	// orderedInstance is the instance whose promotion was ordered with the token.
 	orderedInstance string
 	retryAt         time.Time
@@ -168,7 +177,8 @@
 func New(o Options) *Runner {
 	return &Runner{
 		options: o, now: time.Now, services: map[string]*serviceState{},
-		orders: metrics.GetOrRegisterCounter("promotion.orders_count", o.Registry),
+		identity: fmt.Appendf(nil, "%s %016x", o.Host, rand.Uint64()),
+		orders:   metrics.GetOrRegisterCounter("promotion.orders_count", o.Registry),
 	}
 }
 
@@ -235,6 +245,7 @@
 // step checks the primary of one service and replaces it if there is a reason.
 func (r *Runner) step(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot) {
 	r.observeGeneration()
+	r.checkDuty(ctx, service, state)
 	r.restoreHistory(ctx, service, &state.history)
 	r.confirmBeginning(ctx, service, state)
 	primary := r.currentPrimary(snapshot, service)
@@ -334,7 +345,7 @@
 	if r.options.Failing(primary) {
 		suspected = primary.ID
 	}
-	if id, _ := r.options.Lease(); suspected != state.reportedSuspect || suspected != "" && id != state.reportedLease {
+	if id, _ := r.options.Lease(); suspected != state.reportedSuspect || state.suspicion.Unsure() || suspected != "" && id != state.reportedLease {
 		r.recordSuspicion(ctx, service, state, suspected)
 	}
 	if suspected == "" {
