quota: a host that has not read the others does not count itself alone

Cause: the part of a limit that needs no allocation is divided by the number of hosts, which was 1 until the list had been read, and the list was read only after the registration. Change: until the list has been read twice a host uses only its restored allocation and writes none; then it counts at least the hosts whose allocations it found, for 15 s. The list is read whether the registration succeeds or not, the second time after 0.1 s.

--- a/internal/gatewayd/assemble.go
+++ b/internal/gatewayd/assemble.go
@@ -48,7 +48,7 @@
 		fleet: func() int { count, _ := c.registry.Live(); return count },
 	}
 	c.limiter = quota.NewLimiter(quota.Options{
-		Host: o.Host, Store: o.Store, HostCount: c.registry.Count, Log: d.log,
+		Host: o.Host, Store: o.Store, HostCount: c.registry.Count, HostsKnown: c.registry.Known, Log: d.log,
 		Slack: func() quota.Slack { return d.Settings().Slack }, Registry: o.Registry,
 		Registered: c.registry.InUse, ConfirmedAt: c.registry.RenewedAt,
 		Hosts: c.registry.Hosts, Lender: quota.PeerLender{Peers: c.peers},
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -35,7 +35,9 @@
 	// startupPeriod is how long after its start a host reads the other hosts with
 	// every lease renewal.
 	startupPeriod = 5 * time.Second
-	callTimeout   = 800 * time.Millisecond
+	// secondReadDelay is the delay between the first two reads of the other hosts.
+	secondReadDelay = 100 * time.Millisecond
+	callTimeout     = 800 * time.Millisecond
 	// goneRetention is how long a host that disappeared is still counted. It may be
 	// running without the store, and other hosts must not use its part of a limit.
 	goneRetention = 15 * time.Second
@@ -252,12 +254,16 @@
 	for ctx.Err() == nil {
 		pause := keepAliveInterval
 		err := r.renewOrRegister(ctx)
-		if err == nil && r.now().Sub(refreshed) >= r.refreshInterval(started) {
-			err = r.refresh(ctx)
+		// A host that does not know the others reads them also if its registration failed.
+		if (err == nil || !r.Known()) && r.now().Sub(refreshed) >= r.refreshInterval(started) {
+			err = errors.Join(err, r.refresh(ctx))
 			refreshed = r.now()
 		}
-		if err != nil {
+		switch {
+		case err != nil:
 			pause = retryDelay
+		case !r.Known():
+			pause = secondReadDelay
 		}
 		lost = r.logTransition(lost, err)
 		select {
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -213,11 +213,22 @@
 	return false
 }
 
+// unknownHostCount stands for the number of hosts as long as it is not known. Divided by it,
+// nothing is left of what every host may use without an allocation.
+const unknownHostCount = 1 << 20
+
 // allocationHostCount returns the number of hosts that may have an allocation of a limit. In
-// a small fleet it includes hosts that disappeared recently and may still be running.
+// a small fleet it includes hosts that disappeared recently and may still be running, and
+// for a while those whose allocations this host has found at its start: they may have
+// started with it and not be registered yet.
 func (l *Limiter) allocationHostCount() int {
-	if l.largeFleet() {
+	switch {
+	case !l.options.HostsKnown():
+		return unknownHostCount
+	case l.largeFleet():
 		return allocationsPerAccount
+	case l.now().Before(l.restoredHostsUntil):
+		return max(l.options.HostCount(), l.restoredHosts)
 	}
 	return l.options.HostCount()
 }
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -33,6 +33,9 @@
 	// register before it writes its initial allocations.
 	startupDelay = 4 * time.Second
 	callTimeout  = 600 * time.Millisecond
+	// restoredHostsTime is how long after its start a host counts the hosts whose
+	// allocations it found: they may be running and not be registered yet.
+	restoredHostsTime = 15 * time.Second
 	// maxWriteAttempts bounds the attempts of one write that conflicts with writes
 	// of other hosts.
 	maxWriteAttempts = 6
@@ -57,6 +60,9 @@
 	Store platform.Store
 	// HostCount returns the number of hosts that may be running.
 	HostCount func() int
+	// HostsKnown reports whether the other hosts have been read since the start. Until
+	// then a host uses only the allocations that it has restored. If nil, they are known.
+	HostsKnown func() bool
 	// Registered reports whether a host is registered or alive, and ConfirmedAt is when
 	// the store last confirmed the registration of this host. If nil, no host counts as
 	// registered.
@@ -88,6 +94,10 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	started  time.Time
+	// restoredHosts is the number of hosts with an allocation that this host found at its
+	// start, and counts until restoredHostsUntil.
+	restoredHosts      int
+	restoredHostsUntil time.Time
 	// startupPhase offsets the writes of hosts that start together, because a write
 	// that finds one of its documents changed has to be repeated.
 	startupPhase time.Duration
@@ -108,6 +118,9 @@
 	if o.Registered == nil {
 		o.Registered = func(string) bool { return false }
 	}
+	if o.HostsKnown == nil {
+		o.HostsKnown = func() bool { return true }
+	}
 	if o.ConfirmedAt == nil {
 		o.ConfirmedAt = func() time.Time { return time.Time{} }
 	}
--- a/internal/quota/persist.go
+++ b/internal/quota/persist.go
@@ -35,6 +35,7 @@
 	oldest := l.startInGeneration(asked)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.restoredHosts, l.restoredHostsUntil = l.recordedHosts(), asked.Add(restoredHostsTime)
 	for shard := range l.ledgers {
 		for name, allocations := range l.ledgers[shard] {
 			if own, ok := allocations[l.options.Host]; ok && own.Generation >= oldest {
@@ -51,6 +52,19 @@
 	}
 }
 
+// recordedHosts returns the number of hosts that have an allocation of any limit.
+func (l *Limiter) recordedHosts() int {
+	found := map[string]bool{}
+	for shard := range l.ledgers {
+		for _, allocations := range l.ledgers[shard] {
+			for host := range allocations {
+				found[host] = true
+			}
+		}
+	}
+	return len(found)
+}
+
 // applyDocument applies a ledger document read from the store.
 func (l *Limiter) applyDocument(kv platform.KeyValue) {
 	shard, ok := shardFromKey(kv.Key)
@@ -98,8 +112,12 @@
 
 // dueShards returns the shards to write. Allocations that are too small are written
 // every urgentWriteInterval, those due for renewal or off target every
-// renewCheckInterval. Shards beyond one transaction remain due for the next tick.
+// renewCheckInterval. Shards beyond one transaction remain due for the next tick. Nothing
+// is written before the other hosts are known.
 func (l *Limiter) dueShards() shardSet {
+	if !l.options.HostsKnown() {
+		return 0
+	}
 	now := l.now()
 	renew := now.Sub(l.lastRenewal) >= renewCheckInterval
 	if !renew && now.Sub(l.lastWrite) < urgentWriteInterval {
