relay: waiting for a connection counts as a lease also if it panics

Cause: found in reading. The count of leases that wait was raised and lowered by hand around the call, so a contained panic in between would have kept a stopping host until its last moment, with an error in the log. Change: openLease counts itself and returns the lease. Result: internal/relay passes; no other behavior changed.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -45,16 +45,12 @@
 	if r.draining.Load() {
 		return stream.Send(leavingReply())
 	}
-	r.opening.Add(1)
-	handle, err := r.openLease(stream.Context(), first)
+	l, err := r.openLease(stream, first)
 	if err != nil {
-		r.opening.Add(-1)
 		reply := failureReply(&connpool.Answer{}, err)
 		reply.NotRun = true
 		return stream.Send(reply)
 	}
-	l := r.addLease(stream, handle)
-	r.opening.Add(-1)
 	defer l.close()
 	for request := first; ; {
 		if !l.start() {
@@ -62,7 +58,7 @@
 			return nil
 		}
 		deadline := r.now().Add(time.Duration(request.GetRemainingMs()) * time.Millisecond)
-		answer, err := handle.Do(deadline, fromRequest(request))
+		answer, err := l.handle.Do(deadline, fromRequest(request))
 		reply := toReply(&answer)
 		if err != nil {
 			reply = failureReply(&answer, err)
@@ -78,7 +74,10 @@
 	}
 }
 
-func (r *Router) openLease(ctx context.Context, first *peerv1.LeaseRequest) (connpool.Handle, error) {
+// openLease gets a connection for another host. Waiting for it counts as a lease.
+func (r *Router) openLease(stream peerv1.Relay_LeaseServer, first *peerv1.LeaseRequest) (*lease, error) {
+	r.opening.Add(1)
+	defer r.opening.Add(-1)
 	open := first.GetOpen()
 	snapshot := r.options.Catalog()
 	server := snapshot.Servers[open.GetServerId()]
@@ -86,10 +85,14 @@
 		return nil, fmt.Errorf("instance %s is not known here: %w", open.GetServerId(), outcome.ErrNotRun)
 	}
 	wait := time.Duration(first.GetRemainingMs()) * time.Millisecond / acquireWaitDivisor
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := context.WithTimeout(stream.Context(), wait)
 	defer cancel()
 	values := fromRequest(first).Values
-	return r.options.Pool.AcquireHandle(ctx, server, open.GetAccount(), values, r.connLimit(snapshot, server))
+	handle, err := r.options.Pool.AcquireHandle(ctx, server, open.GetAccount(), values, r.connLimit(snapshot, server))
+	if err != nil {
+		return nil, err
+	}
+	return r.addLease(stream, handle), nil
 }
 
 // failureReply returns the reply for work that failed.
