promotion: a term that has begun is not forgotten for a record that says less

Cause: found in reading. A host that took its duty again replaced what it knew by the stored record of the same term, also if that still called the term a next one, because the answer to the order could not be recorded. Change: the record that knows that the term has begun counts, also for a restored store. Test: internal/promotion "keeps what it knows of a term if the store knows less"; its first row needs the change.

--- a/internal/promotion/history.go
+++ b/internal/promotion/history.go
@@ -54,6 +54,13 @@
 	return position.Term{}
 }
 
+// isBehind reports whether another record names a newer term, or knows that the same term
+// has begun.
+func (r *termRecord) isBehind(other termRecord) bool {
+	c := r.newest().Compare(other.newest())
+	return c < 0 || c == 0 && r.Next != nil && other.Next == nil
+}
+
 // begin adds the next term to the history, because it has begun.
 func (r *termRecord) begin() {
 	if r.Next == nil {
@@ -96,7 +103,7 @@
 		return r.historyFailed(service, h, fmt.Errorf("read term history: %w", err))
 	}
 	h.read, h.failures = true, 0
-	if h.newest().Compare(stored.newest()) <= 0 {
+	if h.isBehind(stored) {
 		h.termRecord = stored
 	}
 	return nil
@@ -134,7 +141,7 @@
 		return
 	}
 	stored, revision, err := r.readHistory(ctx, service)
-	if err == nil && stored.newest().Less(h.newest()) {
+	if err == nil && stored.isBehind(h.termRecord) {
 		var value []byte
 		if value, err = json.Marshal(h.termRecord); err == nil {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/promotion/history_test.go
+++ b/internal/promotion/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 
@@ -104,6 +105,27 @@
 		Expect(w.orders[0].id).To(Equal("r1"))
 	})
 
+	// Guards against a host that forgets that a term has begun because the store could not
+	// record it.
+	It("keeps what it knows of a term if the store knows less", func() {
+		w := newFakeFleet(1, 0)
+		pending := termRecord{Next: &beginning{Term: position.Term{Epoch: 2}, End: at(95)}}
+		begun := pending
+		begun.begin()
+		r := w.hosts[0]
+		for _, c := range []struct{ known, stored, want termRecord }{
+			{begun, pending, begun}, {pending, begun, begun}, {termRecord{}, pending, pending}, {begun, termRecord{}, begun},
+		} {
+			value, err := json.Marshal(c.stored)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = w.memory.Txn(context.Background(), platform.Txn{Puts: []platform.Put{{Key: historyPrefix + "x", Value: value}}})
+			Expect(err).NotTo(HaveOccurred())
+			h := &termHistory{termRecord: c.known}
+			Expect(r.loadHistory(context.Background(), "x", h)).To(Succeed())
+			Expect(h.termRecord).To(Equal(c.want))
+		}
+	})
+
 	// Guards against a planned change whose recorded beginning lacks what the old primary
 	// still sent to the new one, so that a replica that has it counts as left behind.
 	It("records the beginning of a planned term once the new primary leads", func() {
