Lint: names and expressions of the drain

Cause: three findings of the linter in the commits of the planned stop. Change: no constant for the phase in which all work is accepted; a sorted check in the histories. Result: 0 issues; the packages' tests pass.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -101,8 +101,8 @@
 		readiness := time.Duration(rapid.IntRange(0, 4000).Draw(t, "readiness ms")) * time.Millisecond
 		handBack := time.Duration(rapid.IntRange(0, 5000).Draw(t, "hand back ms")) * time.Millisecond
 		plan := Within(limit, readiness, handBack)
-		if !(plan.Readiness <= plan.LastStatement && plan.LastStatement <= plan.Interrupt &&
-			plan.Interrupt <= plan.HandBack && plan.HandBack <= plan.Exit && plan.Exit < limit) {
+		moments := []time.Duration{plan.Readiness, plan.LastStatement, plan.Interrupt, plan.HandBack, plan.Exit}
+		if !slices.IsSorted(moments) || plan.Exit >= limit {
 			t.Fatalf("plan is not in order: %+v", plan)
 		}
 		if plan.LastStatement < limit/2 {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -13,10 +13,9 @@
 type drainPhase int32
 
 const (
-	// phaseServing accepts all work.
-	phaseServing drainPhase = iota
-	// phaseClosingIdle closes each session once it has no open transaction.
-	phaseClosingIdle
+	// phaseClosingIdle closes each session once it has no open transaction. Before it, all
+	// work is accepted.
+	phaseClosingIdle drainPhase = iota + 1
 	// phaseEndingTransactions accepts no statement and rolls back the open
 	// transactions. Statements under way continue.
 	phaseEndingTransactions
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -16,9 +16,9 @@
 	closed atomic.Bool
 }
 
-func (s *fixture) openSession(database string) *openSession {
+func (s *fixture) openSession() *openSession {
 	o := &openSession{}
-	session, result := s.gateway.Open(database, key, func() { o.closed.Store(true) })
+	session, result := s.gateway.Open("strong", key, func() { o.closed.Store(true) })
 	Expect(result.Succeeded()).To(BeTrue())
 	o.Session = session
 	return o
@@ -37,7 +37,7 @@
 	DescribeTable("answers the next statement at once, promises that nothing is kept, and then closes the session",
 		func(next statement.Statement, expected statement.Code, state statement.State) {
 			s := newFixture()
-			session := s.openSession("strong")
+			session := s.openSession()
 			session.handle(simple("b", statement.Begin))
 			Expect(session.handle(write("w")).Succeeded()).To(BeTrue())
 			s.gateway.Drain()
@@ -64,7 +64,7 @@
 	// it arrives before the transaction has been rolled back.
 	It("refuses a commit that arrives with the end", func() {
 		s := newFixture()
-		session := s.openSession("strong")
+		session := s.openSession()
 		session.handle(simple("b", statement.Begin))
 		Expect(session.handle(write("w")).Succeeded()).To(BeTrue())
 		s.gateway.phase.Store(int32(phaseEndingTransactions))
@@ -92,7 +92,7 @@
 	// the grace time: its caller was told before.
 	It("closes a session in the failed state", func() {
 		s := newFixture()
-		session := s.openSession("strong")
+		session := s.openSession()
 		session.handle(simple("b", statement.Begin))
 		Expect(session.handle(statement.Statement{ID: "x", Problem: "invalid"}).State).To(Equal(statement.InFailed))
 		s.gateway.Drain()
@@ -105,7 +105,7 @@
 	// grace time.
 	It("closes the session of a silent caller when statements are interrupted", func() {
 		s := newFixture()
-		session := s.openSession("strong")
+		session := s.openSession()
 		session.handle(simple("b", statement.Begin))
 		s.gateway.EndTransactions()
 		Eventually(session.rolledBack).Should(BeTrue())
