--- a/internal/frontend/outcome_test.go
+++ b/internal/frontend/outcome_test.go
@@ -286,6 +286,16 @@
 	return done
 }
 
+// slowInserts makes the primary take a while for each INSERT.
+func (b *testProxy) slowInserts() {
+	b.primary.inject(func(_ *fakeConn, sql string) (answers, bool) {
+		if strings.HasPrefix(sql, "INSERT") {
+			time.Sleep(100 * time.Millisecond)
+		}
+		return nil, false
+	})
+}
+
 var _ = Describe("Promise 13: a drain interrupts no request", func() {
 	// Guards against requests that a drain interrupts, and against a drain that
 	// never ends because of idle callers.
@@ -310,12 +320,7 @@
 	It("answers every request that was sent", func() {
 		b := newTestProxy()
 		defer b.close()
-		b.primary.inject(func(_ *fakeConn, sql string) (answers, bool) {
-			if strings.HasPrefix(sql, "INSERT") {
-				time.Sleep(100 * time.Millisecond)
-			}
-			return nil, false
-		})
+		b.slowInserts()
 		c := b.dialRaw()
 		defer c.net.Close()
 		c.Send(query(insert))
@@ -356,12 +361,7 @@
 	It("lets a running request end before it ends the transaction", func() {
 		b := newTestProxy()
 		defer b.close()
-		b.primary.inject(func(_ *fakeConn, sql string) (answers, bool) {
-			if strings.HasPrefix(sql, "INSERT") {
-				time.Sleep(100 * time.Millisecond)
-			}
-			return nil, false
-		})
+		b.slowInserts()
 		conn := b.connect("&default_query_exec_mode=simple_protocol")
 		Expect(exec(conn, "BEGIN")).To(BeEmpty())
 		running := make(chan string)
