gatewayd: a stop names the requests that it cuts off

Change: each step logs the connections that are open and the sessions opened since the signal; the last one logs each statement that is cut off with its request, its age and that of its session. No decision changes.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -33,6 +35,34 @@
 	Interrupted int64
 }
 
+// OpenStatement is a statement under way.
+type OpenStatement struct {
+	// Request is the caller's id of the statement.
+	Request string
+	Kind    statement.Kind
+	// SessionAge and Age are the times since the session was opened and since the
+	// statement arrived.
+	SessionAge time.Duration
+	Age        time.Duration
+}
+
+// OpenStatements returns the statements under way.
+func (g *Gateway) OpenStatements() []OpenStatement {
+	var open []OpenStatement
+	now := g.now()
+	for _, s := range g.allSessions() {
+		if r := s.running.Load(); r != nil {
+			open = append(open, OpenStatement{
+				Request: r.statement.ID, Kind: r.statement.Kind, SessionAge: now.Sub(s.opened), Age: now.Sub(r.arrived),
+			})
+		}
+	}
+	return open
+}
+
+// Opened returns the number of sessions that were opened so far.
+func (g *Gateway) Opened() int64 { return g.opened.Count() }
+
 // drainStats holds the counters of DrainCounts.
 type drainStats struct{ aborted, refused, interrupted metrics.Counter }
 
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -153,6 +153,31 @@
 	)
 })
 
+var _ = Describe("The statements under way at a stop", func() {
+	// Guards against a stop whose log does not tell which request it cut off, and whether its
+	// session had been opened before the stop.
+	It("are named with the ages of the statement and of its session", func() {
+		s := newFixture()
+		for _, r := range s.snapshot.Config.Routes {
+			r.Timeout = time.Minute
+		}
+		session := s.session("strong")
+		Expect(s.gateway.Opened()).To(Equal(int64(1)))
+		Expect(s.gateway.OpenStatements()).To(BeEmpty())
+		silence(s)
+		answered := make(chan statement.Result, 1)
+		go func() { answered <- session.handle(write("w")) }()
+		Eventually(s.gateway.OpenStatements).Should(HaveLen(1))
+		open := s.gateway.OpenStatements()[0]
+		Expect(open.Request).To(Equal("w"))
+		Expect(open.Kind).To(Equal(statement.Write))
+		Expect(open.SessionAge).To(BeNumerically(">=", open.Age))
+		s.gateway.Interrupt()
+		Eventually(answered).Should(Receive())
+		Expect(s.gateway.OpenStatements()).To(BeEmpty())
+	})
+})
+
 // noLeader makes every instance refuse what only a leader runs.
 func noLeader(s *fixture) { s.group.set("p", func(i *fakeInstance) { i.leads = false }) }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,8 @@
 	// leaderProofs merges concurrent requests for the proof that an instance leads.
 	leaderProofs syncx.SingleFlight
 
+	// opened counts the sessions that were opened.
+	opened metrics.Counter
 	// phase is the drainPhase.
 	phase      atomic.Int32
 	drainStats drainStats
@@ -107,6 +109,7 @@
 	work, interrupt := context.WithCancel(context.Background())
 	return &Gateway{
 		work: work, interruptWork: interrupt, drainStats: newDrainStats(o.Registry),
+		opened:  metrics.GetOrRegisterCounter("gateway.sessions_opened_count", o.Registry),
 		options: o, log: o.Log, bounds: staleness.New(), health: newHealth(o.Reachability),
 		stats: newStats(o.Registry), now: time.Now, sampleRequests: syncx.NewSingleFlight(), leaderProofs: syncx.NewSingleFlight(),
 		sessions: map[*Session]struct{}{},
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,6 +25,9 @@
 	// closeWhenIdle closes the caller's connection once no request is being read or
 	// answered on it.
 	closeWhenIdle func()
+	opened        time.Time
+	// running is the statement under way, nil between two statements.
+	running atomic.Pointer[call]
 
 	mu       sync.Mutex
 	closed   bool
@@ -51,7 +55,7 @@
 		return nil, statement.Result{Code: statement.Busy, Detail: "the host is stopping", State: statement.Idle}
 	}
 	s := &Session{
-		gateway: g, database: database, key: key, closeWhenIdle: closeWhenIdle,
+		gateway: g, database: database, key: key, closeWhenIdle: closeWhenIdle, opened: g.now(),
 		prepared: map[string]connpool.Prepared{},
 	}
 	if _, _, result := s.authorize(g.options.Catalog()); !result.Succeeded() {
@@ -63,6 +67,7 @@
 	g.mu.Lock()
 	g.sessions[s] = struct{}{}
 	g.mu.Unlock()
+	g.opened.Inc(1)
 	return s, statement.Result{State: statement.Idle}
 }
 
@@ -119,6 +124,8 @@
 	if s.closed && !s.unreported {
 		return statement.Result{Code: statement.Busy, Detail: "session is closed", State: statement.Idle}, true
 	}
+	s.running.Store(&call{statement: st, arrived: arrived})
+	defer s.running.Store(nil)
 	result = s.dispatch(st, arrived)
 	if g.interrupted() && !result.Succeeded() {
 		g.drainStats.interrupted.Inc(1)
--- a/internal/gatewayd/drain.go
+++ b/internal/gatewayd/drain.go
@@ -24,18 +24,24 @@
 type drainRun struct {
 	daemon  *Daemon
 	gateway *gateway.Gateway
+	callers Callers
 	leases  leaseServer
 	// unregistered is closed once the host is no longer registered.
 	unregistered <-chan struct{}
 	started      time.Time
+	// openedBefore is the number of sessions that had been opened when the drain began.
+	openedBefore int64
 }
 
 // drain stops the host within the grace time, in the steps of package drain: it reports
 // not ready, closes sessions between transactions once the load balancer sends no more
 // callers, then ends open transactions and the leases of other hosts, and interrupts what
 // still runs. unregistered is closed once the host is no longer registered.
-func (d *Daemon) drain(g *gateway.Gateway, leases leaseServer, unregistered <-chan struct{}) {
-	r := &drainRun{daemon: d, gateway: g, leases: leases, unregistered: unregistered, started: time.Now()}
+func (d *Daemon) drain(g *gateway.Gateway, callers Callers, leases leaseServer, unregistered <-chan struct{}) {
+	r := &drainRun{
+		daemon: d, gateway: g, callers: callers, leases: leases, unregistered: unregistered,
+		started: time.Now(), openedBefore: g.Opened(),
+	}
 	drain.Run(drain.Within(d.Settings().Grace, removalTime, 0), r)
 }
 
@@ -68,13 +74,17 @@
 	}
 }
 
+// maxCutLines is the maximum number of statements that the end of a stop logs one by one.
+const maxCutLines = 20
+
 // log logs what is open when a step begins. Work that is left at the last step is cut
 // off, which is an error.
 func (r *drainRun) log(step drain.Step) {
-	open, counts, leases := r.gateway.Usage(), r.gateway.DrainCounts(), r.leases.Serving()
+	open, counts, leases, connections := r.gateway.Usage(), r.gateway.DrainCounts(), r.leases.Serving(), r.callers.Connections()
 	fields := []zap.Field{
 		zap.Stringer(logging.FieldStep, step), zap.Int("sessions", open.Sessions), zap.Int("transactions", open.Transactions),
-		zap.Int("statements", open.Running), zap.Int("leases", leases), zap.Int64("aborted", counts.Aborted),
+		zap.Int("statements", open.Running), zap.Int("connections", connections), zap.Int("leases", leases),
+		zap.Int64("opened", r.gateway.Opened()-r.openedBefore), zap.Int64("aborted", counts.Aborted),
 		zap.Int64("refused", counts.Refused), zap.Int64("interrupted", counts.Interrupted),
 		zap.Duration("took", time.Since(r.started)),
 	}
@@ -83,9 +93,20 @@
 		r.daemon.log.Info("stop", fields...)
 	case step != drain.StepDone:
 		r.daemon.log.Info("stopping", fields...)
-	case open.Sessions > 0 || leases > 0:
+	case connections > 0 || leases > 0:
 		r.daemon.log.Error("stop cuts work off", fields...)
+		r.logCutStatements()
 	default:
 		r.daemon.log.Info("stopped", fields...)
 	}
 }
+
+// logCutStatements logs the statements that the end of the process cuts off.
+func (r *drainRun) logCutStatements() {
+	open := r.gateway.OpenStatements()
+	for _, o := range open[:min(len(open), maxCutLines)] {
+		r.daemon.log.Error("statement cut off by the stop of the host", zap.String(logging.FieldDecision, "cut_off"),
+			zap.String("request", o.Request), zap.Stringer(logging.FieldStatement, o.Kind),
+			zap.Duration("session_age", o.SessionAge), zap.Duration("age", o.Age))
+	}
+}
--- a/internal/gatewayd/drain_test.go
+++ b/internal/gatewayd/drain_test.go
@@ -23,6 +23,16 @@
 func (f *fakeLeases) EndLeases()   { f.ended.Add(1) }
 func (f *fakeLeases) Serving() int { return int(f.open.Load()) }
 
+// fakeCallers is a server without a listener. stopped is the number of calls of Close.
+type fakeCallers struct{ open, stopped atomic.Int64 }
+
+func (f *fakeCallers) Close() error {
+	f.stopped.Add(1)
+	return nil
+}
+
+func (f *fakeCallers) Connections() int { return int(f.open.Load()) }
+
 // newIdleGateway returns a gateway without sessions.
 func newIdleGateway() *gateway.Gateway {
 	return gateway.New(gateway.Options{
@@ -55,7 +65,7 @@
 			ended <- time.Now()
 			leases.open.Store(0)
 		})
-		d.drain(newIdleGateway(), leases, unregistered())
+		d.drain(newIdleGateway(), &fakeCallers{}, leases, unregistered())
 		Expect(time.Now()).To(BeTemporally(">=", <-ended))
 		Expect(leases.refused.Load()).To(Equal(int64(1)))
 		Expect(leases.ended.Load()).To(Equal(int64(1)))
@@ -71,7 +81,7 @@
 		leases := &fakeLeases{}
 		leases.open.Store(1)
 		started := time.Now()
-		d.drain(newIdleGateway(), leases, make(chan struct{}))
+		d.drain(newIdleGateway(), &fakeCallers{}, leases, make(chan struct{}))
 		Expect(time.Since(started)).To(BeNumerically("<", grace))
 		errors := logs.FilterLevelExact(zap.ErrorLevel).All()
 		Expect(errors).To(HaveLen(1))
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -63,13 +63,22 @@
 	// Promoter sends promotion orders.
 	Promoter promotion.Promoter
 	// ServeCallers accepts callers for the gateway until it is closed.
-	ServeCallers func(*gateway.Gateway) (io.Closer, error)
+	ServeCallers func(*gateway.Gateway) (Callers, error)
 	// ServeReadiness answers the load balancer's readiness probes.
 	ServeReadiness func(ready func() bool) (io.Closer, error)
 	Log            *zap.Logger
 	Registry       metrics.Registry
 }
 
+// Callers serves the callers' connections.
+type Callers interface {
+	// Close stops accepting connections; open ones are still served.
+	Close() error
+	// Connections returns the number of open connections, also those on which no session
+	// has been opened yet.
+	Connections() int
+}
+
 // Daemon is a running gateway.
 type Daemon struct {
 	options Options
@@ -158,7 +167,7 @@
 		d.log.Info("ready", zap.Int64("config_version", c.follower.Snapshot().Config.Version))
 	}
 	<-ctx.Done()
-	d.drain(c.gateway, c.router, unregistered)
+	d.drain(c.gateway, callers, c.router, unregistered)
 	return nil
 }
 
