--- a/internal/drain/run.go
+++ b/internal/drain/run.go
@@ -14,17 +14,31 @@
 	Do(Step)
 }
 
+// clock is the time that a drain is run by.
+type clock interface {
+	Now() time.Time
+	Sleep(time.Duration)
+}
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+func (systemClock) Sleep(d time.Duration) { time.Sleep(d) }
+
 // Run drains a host: it runs each step when it is due, and returns after StepDone.
-func Run(p Plan, h Host) {
+func Run(p Plan, h Host) { run(p, h, systemClock{}) }
+
+func run(p Plan, h Host, c clock) {
 	var state HostDrain
-	state.Start(time.Now(), p)
+	state.Start(c.Now(), p)
 	for {
-		for _, step := range state.Tick(time.Now(), h.Poll()) {
+		for _, step := range state.Tick(c.Now(), h.Poll()) {
 			h.Do(step)
 		}
 		if state.Last() == StepDone {
 			return
 		}
-		time.Sleep(pollInterval)
+		c.Sleep(pollInterval)
 	}
 }
