drain: a stop looks again after each step, and ends only when nothing came in

Cause: a stop decided that nothing was left on a look that was older than the decision, while work still arrived. Hosts accept sessions until the process is gone, because a load balancer that has less than half of a failure domain in rotation uses all of it.

Change: one step for each look at the work, so that what a step refuses cannot have come in unseen; sessions are added under the lock that ends their acceptance; the listener is closed at the interrupt, connections are counted from then on and the process waits for them; a lease of another host counts before it is checked against the drain.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -111,7 +111,7 @@
 		var h HostDrain
 		start := time.Unix(100, 0)
 		now := start
-		if len(h.Tick(now, Progress{})) != 0 {
+		if _, due := h.Tick(now, Progress{}); due {
 			t.Fatal("a step was due before the start of the drain")
 		}
 		h.Start(now, plan)
@@ -119,6 +119,7 @@
 		answers := rapid.Bool().Draw(t, "hand back completes")
 		earliest := map[Step]time.Duration{
 			StepEndTransactions: plan.LastStatement, StepInterrupt: plan.Interrupt, StepHandBack: plan.HandBack,
+			StepDone: plan.Exit,
 		}
 		var steps []Step
 		for h.Last() != StepDone {
@@ -126,14 +127,16 @@
 				h.Start(now, Within(limit*2, readiness, handBack))
 			}
 			p := Progress{Work: work, HandedBack: answers && h.Last() == StepHandBack && rapid.Bool().Draw(t, "handed back")}
-			due := h.Tick(now, p)
+			s, due := h.Tick(now, p)
 			age := now.Sub(start)
-			for _, s := range due {
+			if due {
 				if s == StepCloseIdle && age < plan.Readiness || work > 0 && age < earliest[s] {
 					t.Fatalf("step %v is due after only %v with work %d", s, age, work)
 				}
+				steps = append(steps, s)
+				continue
 			}
-			if steps = append(steps, due...); age > limit {
+			if age > limit {
 				t.Fatalf("not done after %v: %v", age, steps)
 			}
 			now = now.Add(limit / 50)
--- a/internal/drain/host.go
+++ b/internal/drain/host.go
@@ -61,7 +61,9 @@
 	// StepEndTransactions rolls back the transactions that are open. Their next
 	// statement is refused, as is all other new work; statements under way continue.
 	StepEndTransactions
-	// StepInterrupt interrupts the statements under way and closes the other sessions.
+	// StepInterrupt interrupts the statements under way, closes the other sessions and
+	// stops accepting connections. After it, Progress.Work counts also the connections
+	// without a session.
 	StepInterrupt
 	// StepHandBack hands back the host's duties and leaves the fleet.
 	StepHandBack
@@ -92,7 +94,7 @@
 // Progress is the state of the drain that the caller passes to each Tick.
 type Progress struct {
 	// Work is the number of open caller sessions and of other hosts' uses of this
-	// host's connections.
+	// host's connections. Once StepEndTransactions has run it must not rise from 0.
 	Work int
 	// HandedBack is set once the duties are handed back. It has no effect before
 	// StepHandBack.
@@ -121,19 +123,20 @@
 // Last returns the last step that was due; 0 before the drain.
 func (h *HostDrain) Last() Step { return h.last }
 
-// Tick returns the steps that are due, in order.
-func (h *HostDrain) Tick(now time.Time, p Progress) []Step {
-	var due []Step
-	for h.Started() && h.last < StepDone && h.isDue(h.last+1, now, p) {
-		h.last++
-		due = append(due, h.last)
+// Tick returns the next step if it is due. It returns one step at a time: the progress that
+// a later step depends on must be read after the earlier step has run, because until
+// StepEndTransactions work may arrive at any moment.
+func (h *HostDrain) Tick(now time.Time, p Progress) (Step, bool) {
+	if !h.Started() || h.last >= StepDone || !h.isDue(h.last+1, now, p) {
+		return 0, false
 	}
-	return due
+	h.last++
+	return h.last, true
 }
 
 // isDue reports whether step s, the one after the last, can begin. Once no work is left,
 // a step is due at once. Duties are handed back only after all work, because work may
-// depend on them.
+// depend on them, and the host ends early only if nothing is left then.
 func (h *HostDrain) isDue(s Step, now time.Time, p Progress) bool {
 	age := now.Sub(h.startedAt)
 	switch s {
@@ -148,7 +151,7 @@
 	case StepHandBack:
 		return p.Work == 0 || age >= h.plan.HandBack
 	case StepDone:
-		return p.HandedBack || age >= h.plan.Exit
+		return p.HandedBack && p.Work == 0 || age >= h.plan.Exit
 	default:
 		return false
 	}
--- a/internal/drain/run.go
+++ b/internal/drain/run.go
@@ -2,13 +2,13 @@
 
 import "time"
 
-// pollInterval is how often Run checks which step is due. It is also the time in which the
-// last answers leave the process.
+// pollInterval is how often Run checks whether the next step is due.
 const pollInterval = 50 * time.Millisecond
 
 // Host is the host that Run drains.
 type Host interface {
-	// Poll returns the state of the drain. It is called before each decision.
+	// Poll returns the state of the drain. It is called before each decision, after the
+	// steps before have run.
 	Poll() Progress
 	// Do runs a step. Only StepInterrupt may wait for the statements that it interrupts.
 	Do(Step)
@@ -32,13 +32,12 @@
 func run(p Plan, h Host, c clock) {
 	var state HostDrain
 	state.Start(c.Now(), p)
-	for {
-		for _, step := range state.Tick(c.Now(), h.Poll()) {
-			h.Do(step)
+	for state.Last() != StepDone {
+		step, due := state.Tick(c.Now(), h.Poll())
+		if !due {
+			c.Sleep(pollInterval)
+			continue
 		}
-		if state.Last() == StepDone {
-			return
-		}
-		c.Sleep(pollInterval)
+		h.Do(step)
 	}
 }
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -100,8 +100,12 @@
 	g.options.Conns.Interrupt()
 }
 
+// enter begins a phase. It takes the lock under which sessions are added, so that no session
+// is opened on a phase that has ended.
 func (g *Gateway) enter(p drainPhase) {
+	g.mu.Lock()
 	g.phase.Store(int32(p))
+	g.mu.Unlock()
 	g.Sweep()
 }
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -51,9 +51,6 @@
 // connection once no request is being read or answered on it, and may be called from any
 // goroutine. A request that is handled after that is refused.
 func (g *Gateway) Open(database, key string, closeWhenIdle func()) (*Session, statement.Result) {
-	if g.drainPhase() >= phaseEndingTransactions {
-		return nil, statement.Result{Code: statement.Busy, Detail: "the host is stopping", State: statement.Idle}
-	}
 	s := &Session{
 		gateway: g, database: database, key: key, closeWhenIdle: closeWhenIdle, opened: g.now(),
 		prepared: map[string]connpool.Prepared{},
@@ -64,13 +61,25 @@
 			zap.String("route_database", database), zap.String(logging.FieldReason, string(result.Code)))
 		return nil, result
 	}
-	g.mu.Lock()
-	g.sessions[s] = struct{}{}
-	g.mu.Unlock()
+	if !g.addSession(s) {
+		g.stats.result(statement.Busy)
+		return nil, statement.Result{Code: statement.Busy, Detail: "not run: the host is stopping", State: statement.Idle}
+	}
 	g.opened.Inc(1)
 	return s, statement.Result{State: statement.Idle}
 }
 
+// addSession registers a session. It reports false if the host accepts none any more.
+func (g *Gateway) addSession(s *Session) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.drainPhase() >= phaseEndingTransactions {
+		return false
+	}
+	g.sessions[s] = struct{}{}
+	return true
+}
+
 // authorize looks up the route and the account of the session in the current
 // configuration.
 func (s *Session) authorize(snapshot *catalog.Snapshot) (*catalog.Route, *catalog.Account, statement.Result) {
--- a/internal/gatewayd/drain.go
+++ b/internal/gatewayd/drain.go
@@ -29,6 +29,8 @@
 	// unregistered is closed once the host is no longer registered.
 	unregistered <-chan struct{}
 	started      time.Time
+	// stoppedAccepting says that no connection is accepted any more.
+	stoppedAccepting bool
 	// openedBefore is the number of sessions that had been opened when the drain began.
 	openedBefore int64
 }
@@ -48,7 +50,12 @@
 // Poll implements drain.Host.
 func (r *drainRun) Poll() drain.Progress {
 	r.gateway.Sweep()
-	p := drain.Progress{Work: r.gateway.Sessions() + r.leases.Serving()}
+	callers := r.gateway.Sessions()
+	if r.stoppedAccepting {
+		// A connection may still be told that its session is refused.
+		callers = r.callers.Connections()
+	}
+	p := drain.Progress{Work: callers + r.leases.Serving()}
 	select {
 	case <-r.unregistered:
 		p.HandedBack = true
@@ -71,6 +78,16 @@
 		r.leases.EndLeases()
 	case drain.StepInterrupt:
 		r.gateway.Interrupt()
+		r.stopAccepting()
+	}
+}
+
+// stopAccepting closes the listener. Until then callers are accepted even if only to be
+// refused with an answer.
+func (r *drainRun) stopAccepting() {
+	r.stoppedAccepting = true
+	if err := r.callers.Close(); err != nil {
+		r.daemon.log.Warn("stop of accepting callers failed", zap.String(logging.FieldStep, "drain"), zap.Error(err))
 	}
 }
 
--- a/internal/gatewayd/drain_test.go
+++ b/internal/gatewayd/drain_test.go
@@ -71,6 +71,22 @@
 		Expect(leases.ended.Load()).To(Equal(int64(1)))
 	})
 
+	// Guards against a process that ends before a caller that it has accepted is told that
+	// it gets no session.
+	It("stops accepting callers, and then waits for those that it has accepted", func() {
+		d := New(Options{Reloadable: Reloadable{Grace: 3 * time.Second}, Log: zap.NewNop()})
+		callers := &fakeCallers{}
+		callers.open.Store(1)
+		ended := make(chan time.Time, 1)
+		time.AfterFunc(1500*time.Millisecond, func() {
+			ended <- time.Now()
+			callers.open.Store(0)
+		})
+		d.drain(newIdleGateway(), callers, &fakeLeases{}, unregistered())
+		Expect(time.Now()).To(BeTemporally(">=", <-ended))
+		Expect(callers.stopped.Load()).To(Equal(int64(1)))
+	})
+
 	// Guards against a stop that outlasts its grace time because of a peer that keeps a
 	// connection, or because the store does not confirm the end of the registration. Work
 	// that is cut off must be reported as an error.
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -72,7 +72,8 @@
 
 // Callers serves the callers' connections.
 type Callers interface {
-	// Close stops accepting connections; open ones are still served.
+	// Close stops accepting connections; open ones are still served, and those on which
+	// no message has arrived are closed. No connection is added after it returns.
 	Close() error
 	// Connections returns the number of open connections, also those on which no session
 	// has been opened yet.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -42,10 +42,10 @@
 		return status.Error(codes.InvalidArgument, "the first request of a lease must name an instance")
 	}
 	r.options.Hint(first.GetOpen().GetRevisions())
-	if r.draining.Load() {
+	l, err := r.openLease(stream, first)
+	if errors.Is(err, errDraining) {
 		return stream.Send(leavingReply())
 	}
-	l, err := r.openLease(stream, first)
 	if err != nil {
 		reply := failureReply(&connpool.Answer{}, err)
 		reply.NotRun = true
@@ -74,10 +74,17 @@
 	}
 }
 
-// openLease gets a connection for another host. Waiting for it counts as a lease.
+// errDraining is returned for a lease that is asked for while the host drains.
+var errDraining = errors.New("host is stopping")
+
+// openLease gets a connection for another host. Waiting for it counts as a lease, from before
+// the check of the drain on: a host that drains and counts no lease gets none any more.
 func (r *Router) openLease(stream peerv1.Relay_LeaseServer, first *peerv1.LeaseRequest) (*lease, error) {
 	r.opening.Add(1)
 	defer r.opening.Add(-1)
+	if r.draining.Load() {
+		return nil, errDraining
+	}
 	open := first.GetOpen()
 	snapshot := r.options.Catalog()
 	server := snapshot.Servers[open.GetServerId()]
