gateway: a session is closed with a notice, so that no request on its way is lost

What callers saw: at a planned stop, requests that were sent while the gateway closed their session ended with a closed connection and no answer. They could not be repeated if they were a write or a commit.

A host decided that a session is idle on what had arrived, while a request was on its way; a close cannot be told apart from a lost answer. New sessions were closed within 50 ms, before their first operation could arrive.

Change: a session that is closed between two statements ends with an error that is not asked for (BUSY, or ABORTED if a transaction was rolled back). A caller without a request closes its side; for a caller with a request on its way the error is the answer, the request is not run, and the end of the answer follows. A session that has just been opened, or prepared by SET, PREPARE or CLOSE, gets 250 ms for its operation.

Unit tests of both kinds of notice.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -154,13 +154,37 @@
 		return
 	}
 	defer s.mu.Unlock()
-	if phase >= s.closableFrom() && !s.closed {
+	if s.closable(phase) && !s.closed {
 		s.closed = true
 		s.closeWhenIdle()
 	}
 }
 
-// closableFrom returns the phase from which the session may be closed between two
+// closable reports whether the session may be closed between two statements in a phase.
+func (s *Session) closable(phase drainPhase) bool {
+	if phase <= phaseClosingIdle && s.gateway.now().Before(s.keepUntil) {
+		return false
+	}
+	return phase >= s.closableFrom()
+}
+
+// CloseNotice returns what the caller is told when its session is closed between two
+// statements. It also answers a statement that is on its way then and must not be answered
+// in another way.
+func (s *Session) CloseNotice() statement.Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closeNotice()
+}
+
+func (s *Session) closeNotice() statement.Result {
+	if s.unreported {
+		return statement.Result{Code: statement.Aborted, Detail: "rolled back: the host is stopping"}
+	}
+	return statement.Result{Code: statement.Busy, Detail: "not run: the host closes its sessions"}
+}
+
+// closableFrom returns the phase from which the session is closed between two
 // statements. A caller that does not know yet that its transaction was rolled back is
 // told as long as possible: a commit that meets a closed connection is in doubt for it.
 func (s *Session) closableFrom() drainPhase {
@@ -193,10 +217,11 @@
 	s.endTransaction()
 	switch {
 	case s.unreported:
+		notice := s.closeNotice()
 		s.unreported = false
 		result := s.dispatchFailed(st)
 		if st.Kind != statement.Rollback {
-			result = statement.Result{Code: statement.Aborted, Detail: "rolled back: the host is stopping"}
+			result = notice
 		}
 		return result
 	case s.failed:
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -119,6 +119,86 @@
 	})
 })
 
+var _ = Describe("A session that has just been opened", func() {
+	// Guards against callers that are turned away while the host can still serve them: a stop
+	// closed new sessions before their first operation could arrive.
+	DescribeTable("is not closed before its caller had time for an operation",
+		func(prepare []statement.Statement) {
+			s := newFixture()
+			now := time.Now()
+			s.gateway.now = func() time.Time { return now }
+			s.gateway.Drain()
+			session := s.openSession()
+			for _, st := range prepare {
+				now = now.Add(firstStatementTime / 2)
+				result, closeConn := session.Handle(st, now)
+				Expect(result.Succeeded()).To(BeTrue())
+				Expect(closeConn).To(BeFalse(), "an operation follows")
+			}
+			now = now.Add(firstStatementTime - 1)
+			s.gateway.Sweep()
+			Expect(session.closed.Load()).To(BeFalse())
+			result, closeConn := session.Handle(read("q"), now)
+			Expect(result.Succeeded()).To(BeTrue())
+			Expect(closeConn).To(BeTrue(), "the operation has ended")
+		},
+		Entry("after its start", nil),
+		Entry("after statements that prepare it", []statement.Statement{
+			{ID: "s", Kind: statement.Set, Name: "v", Value: "1"},
+			{ID: "p", Kind: statement.Prepare, Name: "s1", Value: "shape"},
+			{ID: "d", Kind: statement.Deallocate, Name: "s1"},
+		}),
+	)
+
+	// Guards against silent callers that keep a stopping host.
+	It("is closed if no operation arrives, at the latest when new work is refused", func() {
+		s := newFixture()
+		now := time.Now()
+		s.gateway.now = func() time.Time { return now }
+		s.gateway.Drain()
+		silent, late := s.openSession(), s.openSession()
+		now = now.Add(firstStatementTime)
+		late.keepUntil = now.Add(firstStatementTime)
+		s.gateway.Sweep()
+		Expect(silent.closed.Load()).To(BeTrue())
+		Expect(late.closed.Load()).To(BeFalse())
+		s.gateway.EndTransactions()
+		Expect(late.closed.Load()).To(BeTrue())
+	})
+})
+
+var _ = Describe("The notice of a session that is closed", func() {
+	// Guards against a request that is on its way when its session is closed: its caller got
+	// no answer, and could not repeat a write or a commit.
+	It("is the answer to a statement that arrives later, which is not run", func() {
+		s := newFixture()
+		session := s.openSession()
+		Expect(session.handle(read("q")).Succeeded()).To(BeTrue())
+		s.gateway.Drain()
+		Expect(session.closed.Load()).To(BeTrue())
+		Expect(session.CloseNotice().Code).To(Equal(statement.Busy))
+		result, closeConn := session.Handle(write("w"), time.Now())
+		Expect(result.Code).To(Equal(statement.Busy))
+		Expect(closeConn).To(BeTrue())
+		Expect(s.group.runsOf("w")).To(BeEmpty())
+		Expect(s.gateway.DrainCounts().Refused).To(Equal(int64(1)))
+	})
+
+	It("says that a transaction was rolled back if no answer has said so", func() {
+		s := newFixture()
+		session := s.openSession()
+		session.handle(simple("b", statement.Begin))
+		Expect(session.handle(write("w")).Succeeded()).To(BeTrue())
+		s.gateway.EndTransactions()
+		Eventually(session.rolledBack).Should(BeTrue())
+		s.gateway.Interrupt()
+		Expect(session.closed.Load()).To(BeTrue())
+		Expect(session.CloseNotice().Code).To(Equal(statement.Aborted))
+		result, _ := session.Handle(simple("c", statement.Commit), time.Now())
+		Expect(result.Code).To(Equal(statement.Aborted))
+	})
+})
+
 var _ = Describe("An interrupt in a planned stop", func() {
 	// Guards against a statement that was accepted in time and that the end of the process
 	// cuts off while it waits for an instance.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -221,6 +221,7 @@
 		closed := map[string]bool{}
 		open := func(name string) *Session {
 			session, _ := s.gateway.Open("strong", key, func() { closed[name] = true })
+			Expect(session.handle(read("q")).Succeeded()).To(BeTrue())
 			return session
 		}
 		idle, busySession := open("idle"), open("busy")
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -41,20 +41,28 @@
 	// failed is set if the transaction was rolled back by the gateway and the caller
 	// has not ended it yet.
 	failed bool
+	// keepUntil is when the session may be closed between two statements at the earliest,
+	// because its caller is about to send a statement.
+	keepUntil time.Time
 	// unreported is set if the gateway's shutdown rolled the transaction back and no
 	// answer has said so yet.
 	unreported bool
 }
 
+// firstStatementTime is how long a caller may take to send its first operation, and the one
+// after a statement that only prepares the session for it, before a session is closed.
+const firstStatementTime = 250 * time.Millisecond
+
 // Open starts a session on a database for the account of an API key. If the session
 // is refused it returns nil and the reason. closeWhenIdle must close the caller's
-// connection once no request is being read or answered on it, and may be called from any
-// goroutine. A request that is handled after that is refused.
+// connection, after CloseNotice, once no request is being read or answered on it, and may
+// be called from any goroutine. A request that is handled after that is refused.
 func (g *Gateway) Open(database, key string, closeWhenIdle func()) (*Session, statement.Result) {
 	s := &Session{
 		gateway: g, database: database, key: key, closeWhenIdle: closeWhenIdle, opened: g.now(),
 		prepared: map[string]connpool.Prepared{},
 	}
+	s.keepUntil = s.opened.Add(firstStatementTime)
 	if _, _, result := s.authorize(g.options.Catalog()); !result.Succeeded() {
 		g.stats.result(result.Code)
 		g.log.Info("session refused", zap.String(logging.FieldDecision, "refuse_session"),
@@ -125,12 +133,14 @@
 }
 
 // Handle runs one statement whose first byte arrived at the given time. If closeConn
-// is true, the caller's connection must be closed after the answer has been sent.
+// is true, the caller's connection must be closed after the answer and CloseNotice have been
+// sent.
 func (s *Session) Handle(st statement.Statement, arrived time.Time) (result statement.Result, closeConn bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := s.gateway
 	if s.closed && !s.unreported {
+		g.drainStats.refused.Inc(1)
 		return statement.Result{Code: statement.Busy, Detail: "session is closed", State: statement.Idle}, true
 	}
 	s.running.Store(&call{statement: st, arrived: arrived})
@@ -143,7 +153,11 @@
 	result.Position = position.Position{}
 	g.stats.result(result.Code)
 	g.stats.latency.Update(g.now().Sub(arrived).Microseconds())
-	closeConn = g.drainPhase() >= s.closableFrom()
+	s.keepUntil = time.Time{}
+	if result.Succeeded() && st.Kind.PreparesSession() {
+		s.keepUntil = arrived.Add(firstStatementTime)
+	}
+	closeConn = s.closable(g.drainPhase())
 	s.closed = s.closed || closeConn
 	return result, closeConn
 }
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -37,6 +37,10 @@
 var kindNames = [...]string{"invalid", "begin", "commit", "rollback", "read", "write", "set", "prepare",
 	"execute", "deallocate", "reset", "status", "pause", "resume", "demote"}
 
+// PreparesSession reports whether the statement only changes the state of the session: an
+// operation of the caller follows it.
+func (k Kind) PreparesSession() bool { return k == Set || k == Prepare || k == Deallocate }
+
 // String returns the name used in logs.
 func (k Kind) String() string { return kindNames[k] }
 
