relay: statements and answers reach another host with any bytes

What callers saw: a write whose text is not UTF-8 ended in doubt whenever its connection was at another host, and that host counted as failed.

Cause: the texts of callers and instances were proto strings, which must be UTF-8; marshalling failed. Change: they are bytes. The wire type is the same, so builds of before and after understand each other.

--- a/internal/relay/convert.go
+++ b/internal/relay/convert.go
@@ -24,22 +24,41 @@
 
 func toStatement(s *statement.Statement) *peerv1.RelayStatement {
 	return &peerv1.RelayStatement{
-		Id: s.ID, Kind: uint32(s.Kind), ReadOnly: s.ReadOnly, Writes: s.Writes, Name: s.Name, Value: s.Value,
-		Args: s.Args, Text: s.Text, After: toPosition(s.After), Term: s.Term,
+		Id: []byte(s.ID), Kind: uint32(s.Kind), ReadOnly: s.ReadOnly, Writes: s.Writes, Name: []byte(s.Name), Value: []byte(s.Value),
+		Args: []byte(s.Args), Text: []byte(s.Text), After: toPosition(s.After), Term: s.Term,
 	}
 }
 
 func fromStatement(s *peerv1.RelayStatement) statement.Statement {
 	return statement.Statement{
-		ID: s.GetId(), Kind: statement.Kind(s.GetKind()), ReadOnly: s.GetReadOnly(), Writes: s.GetWrites(),
-		Name: s.GetName(), Value: s.GetValue(), Args: s.GetArgs(), Text: s.GetText(),
+		ID: string(s.GetId()), Kind: statement.Kind(s.GetKind()), ReadOnly: s.GetReadOnly(), Writes: s.GetWrites(),
+		Name: string(s.GetName()), Value: string(s.GetValue()), Args: string(s.GetArgs()), Text: string(s.GetText()),
 		After: fromPosition(s.GetAfter()), Term: s.GetTerm(),
 	}
 }
 
+func toBytes(rows []string) [][]byte {
+	out := make([][]byte, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, []byte(row))
+	}
+	return out
+}
+
+func fromBytes(rows [][]byte) []string {
+	if len(rows) == 0 {
+		return nil
+	}
+	out := make([]string, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, string(row))
+	}
+	return out
+}
+
 func toResult(r *statement.Result) *peerv1.RelayResult {
 	out := &peerv1.RelayResult{
-		Rows: r.Rows, Signature: r.Signature, Code: string(r.Code), Detail: r.Detail,
+		Rows: toBytes(r.Rows), Signature: []byte(r.Signature), Code: []byte(r.Code), Detail: []byte(r.Detail),
 		State: uint32(r.State), Position: toPosition(r.Position),
 	}
 	if r.Instance != nil {
@@ -52,7 +71,7 @@
 
 func fromResult(r *peerv1.RelayResult) statement.Result {
 	out := statement.Result{
-		Rows: r.GetRows(), Signature: r.GetSignature(), Code: statement.Code(r.GetCode()), Detail: r.GetDetail(),
+		Rows: fromBytes(r.GetRows()), Signature: string(r.GetSignature()), Code: statement.Code(r.GetCode()), Detail: string(r.GetDetail()),
 		State: statement.State(r.GetState()), Position: fromPosition(r.GetPosition()),
 	}
 	if in := r.GetInstance(); in != nil {
@@ -66,11 +85,11 @@
 func toRequest(w *connpool.Work, remaining time.Duration) *peerv1.LeaseRequest {
 	request := &peerv1.LeaseRequest{RemainingMs: remaining.Milliseconds()}
 	for name, value := range w.Values {
-		request.Values = append(request.Values, &peerv1.Variable{Name: name, Value: value})
+		request.Values = append(request.Values, &peerv1.Variable{Name: []byte(name), Value: []byte(value)})
 	}
 	if w.Prepared != nil {
 		request.Prepared = true
-		request.PreparedWrites, request.PreparedShape = w.Prepared.Writes, w.Prepared.Shape
+		request.PreparedWrites, request.PreparedShape = w.Prepared.Writes, []byte(w.Prepared.Shape)
 	}
 	if w.Begin != nil {
 		request.Begin = toStatement(w.Begin)
@@ -84,10 +103,10 @@
 func fromRequest(r *peerv1.LeaseRequest) connpool.Work {
 	w := connpool.Work{Values: make(connpool.Values, len(r.GetValues()))}
 	for _, v := range r.GetValues() {
-		w.Values[v.GetName()] = v.GetValue()
+		w.Values[string(v.GetName())] = string(v.GetValue())
 	}
 	if r.GetPrepared() {
-		w.Prepared = &connpool.Prepared{Writes: r.GetPreparedWrites(), Shape: r.GetPreparedShape()}
+		w.Prepared = &connpool.Prepared{Writes: r.GetPreparedWrites(), Shape: string(r.GetPreparedShape())}
 	}
 	if r.GetBegin() != nil {
 		begin := fromStatement(r.GetBegin())
--- a/internal/relay/lease.go
+++ b/internal/relay/lease.go
@@ -92,7 +92,7 @@
 
 // leavingReply says that this host is stopping and that the work was not run.
 func leavingReply() *peerv1.LeaseReply {
-	return &peerv1.LeaseReply{Leaving: true, NotRun: true, Error: "host is stopping"}
+	return &peerv1.LeaseReply{Leaving: true, NotRun: true, Error: []byte("host is stopping")}
 }
 
 // start begins work. It reports false if the lease has ended.
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -115,14 +115,14 @@
 	h.router.options.Reachability.Reached(h.owner.Name)
 	h.router.recordLoad(h.server, answer.Load)
 	switch {
-	case reply.GetError() == "":
+	case len(reply.GetError()) == 0:
 		return answer, nil
-	case reply.GetRefusalCode() != "":
-		return answer, h.wrap(&connpool.Refusal{Code: statement.Code(reply.GetRefusalCode()), Detail: reply.GetError()})
+	case len(reply.GetRefusalCode()) > 0:
+		return answer, h.wrap(&connpool.Refusal{Code: statement.Code(reply.GetRefusalCode()), Detail: string(reply.GetError())})
 	case reply.GetNotRun():
 		return answer, h.wrap(fmt.Errorf("%w: %s", outcome.ErrNotRun, reply.GetError()))
 	}
-	return answer, h.wrap(errors.New(reply.GetError()))
+	return answer, h.wrap(errors.New(string(reply.GetError())))
 }
 
 func (h *remoteHandle) ownerUnreached(err error) error {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -105,12 +105,12 @@
 // failureReply returns the reply for work that failed.
 func failureReply(answer *connpool.Answer, err error) *peerv1.LeaseReply {
 	reply := toReply(answer)
-	reply.Error = err.Error()
+	reply.Error = []byte(err.Error())
 	reply.NotRun = outcome.RetrySafe(err)
 	reply.Unreachable = errors.Is(err, connpool.ErrUnreachable)
 	var refusal *connpool.Refusal
 	if errors.As(err, &refusal) {
-		reply.RefusalCode, reply.NotRun = string(refusal.Code), true
+		reply.RefusalCode, reply.NotRun = []byte(refusal.Code), true
 	}
 	return reply
 }
