connpool: a shape of any bytes gets a name that can stand in a message

Cause: the name of a prepared statement on a connection was made of its shape. The shape is the last field of PREPARE and may hold blanks and any bytes; in the name, which is not the last field, a blank changed how the message was read. Result: the new table failed for four of its six shapes before.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -8,9 +8,13 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"maps"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/statement"
@@ -99,11 +103,26 @@
 	Shape string
 }
 
+// maxPlainShape is the maximum length of a shape that is part of the name.
+const maxPlainShape = 64
+
+// name returns the name on a connection. A shape that could not stand in a name, because of
+// its length or its characters, is replaced by its hash.
 func (p Prepared) name() string {
+	kind := "r"
 	if p.Writes {
-		return "w_" + p.Shape
+		kind = "w"
+	}
+	if len(p.Shape) <= maxPlainShape && !strings.ContainsFunc(p.Shape, notInNames) {
+		return kind + "_" + p.Shape
 	}
-	return "r_" + p.Shape
+	hash := sha256.Sum256([]byte(p.Shape))
+	return kind + "h_" + hex.EncodeToString(hash[:])
+}
+
+// notInNames reports whether a character cannot stand in a name.
+func notInNames(r rune) bool {
+	return r != '_' && r != '-' && (r > unicode.MaxASCII || !unicode.IsLetter(r) && !unicode.IsDigit(r))
 }
 
 // Apply returns the setup statements that apply a session's values and, if prepared is
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -228,3 +229,17 @@
 		Expect(do()).NotTo(Succeed())
 	})
 })
+
+var _ = Describe("The names of prepared statements on a connection", func() {
+	// Guards against a shape that changes how the message that prepares it is read: the shape
+	// is the last field and may hold blanks, the name may not.
+	DescribeTable("hold no byte that could end the field, and differ if the shapes do",
+		func(shape string) {
+			name := Prepared{Shape: shape}.name()
+			Expect(name).To(MatchRegexp("^[A-Za-z0-9_-]{1,80}$"))
+			Expect(name).NotTo(Equal(Prepared{Shape: shape, Writes: true}.name()))
+			Expect(name).NotTo(Equal(Prepared{Shape: shape + " "}.name()))
+		},
+		Entry(nil, "q2c"), Entry(nil, "a b"), Entry(nil, "a\nb"), Entry(nil, "\xff"), Entry(nil, strings.Repeat("x", 2000)), Entry(nil, ""),
+	)
+})
