gateway: a commit is checked against withdrawn keys and evacuations

A transaction whose key was withdrawn, or whose instance is in a failure domain that was evacuated, could still commit: only its other statements were checked.

Change: the commit is refused, with NOAUTH or with the promise ABORTED, and the connection is closed, so that no statement reaches an evacuated instance. An instance that drains may still commit, since transactions end there.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -214,6 +214,37 @@
 		Expect(s.group.runsOf("w3")).To(BeEmpty())
 	})
 
+	// Guards against a commit that takes effect after its key was withdrawn, or at an instance
+	// in a failure domain that was evacuated: only the statements before it were checked.
+	DescribeTable("do not commit what their next statement could not add to",
+		func(change func(*fixture), expected statement.Code) {
+			s := newFixture()
+			session := s.session("strong")
+			session.handle(simple("b", statement.Begin))
+			Expect(session.handle(write("w")).Succeeded()).To(BeTrue())
+			change(s)
+			result := session.handle(simple("c", statement.Commit))
+			Expect(result.Code).To(Equal(expected))
+			Expect(result.State).To(Equal(statement.Idle))
+			Expect(s.group.runsOf("c")).To(BeEmpty())
+			Expect(s.group.instances["p"].applied).To(Equal(uint64(100)), "nothing is committed")
+		},
+		Entry("after their key was withdrawn", func(s *fixture) { clear(s.snapshot.Config.Keys) }, statement.NoAuth),
+		Entry("in a failure domain that was evacuated", func(s *fixture) { s.snapshot.Evacuated["d0"] = true }, statement.Aborted),
+	)
+
+	// Guards against a commit that is refused although a draining instance may still end its
+	// transactions.
+	It("commit at an instance that is draining", func() {
+		s := newFixture()
+		session := s.session("strong")
+		session.handle(simple("b", statement.Begin))
+		Expect(session.handle(write("w")).Succeeded()).To(BeTrue())
+		s.snapshot.Servers["p"].DrainedAt = time.Now()
+		Expect(session.handle(simple("c", statement.Commit)).Succeeded()).To(BeTrue())
+		Expect(s.group.instances["p"].applied).To(Equal(uint64(101)))
+	})
+
 	// Guards against a shutdown that interrupts an open transaction, and against one
 	// that waits for idle sessions.
 	It("are closed by a drain once no transaction is open", func() {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -273,6 +273,12 @@
 	a := &attempts{}
 	s.tx = nil
 	var result statement.Result
+	if refused := s.refuseCommit(tx); !refused.Succeeded() {
+		// The connection is closed, which rolls back.
+		tx.release()
+		s.logOutcome(c, tx.op, refused, a)
+		return refused
+	}
 	if tx.conn == nil {
 		// No statement ran, so there is nothing to lose if this fails.
 		var opened bool
@@ -292,6 +298,19 @@
 	return result
 }
 
+// refuseCommit checks what may have changed since the last statement of a transaction: the
+// caller's key and the failure domain of the instance. A draining instance may still commit.
+func (s *Session) refuseCommit(tx *transaction) statement.Result {
+	snapshot := s.gateway.options.Catalog()
+	if _, _, result := s.authorize(snapshot); result.Code == statement.NoAuth {
+		return result
+	}
+	if tx.conn != nil && snapshot.Evacuated[tx.target.server.Domain] {
+		return statement.Result{Code: statement.Aborted, Detail: "rolled back: the failure domain of the instance is evacuated"}
+	}
+	return statement.Result{}
+}
+
 // commitUnanswered returns the result of a commit without an answer. A transaction
 // that only read is never in doubt, because it has no effect.
 func (tx *transaction) commitUnanswered(err error) statement.Result {
