promotion: replicas that were paused for a promotion do not stay paused

Where replicas confirm commits (sync_replicas), candidates are paused before they are compared. They stayed paused if an instance led a newer term already, if an order for another instance might still be carried out, if a pause had no answer, and if the order had none and the primary came back: no commit was confirmed any more.

Change: what was paused is state of the service, and each step resumes it unless an order was answered, which ends the pauses, or may still be carried out late: a replica that confirms a commit after the comparison would lose it by the late order. The duty is taken before, because another holder may have paused them.

Result: the four new tests fail on the code before, pass now; the package passes.

--- a/internal/promotion/order.go
+++ b/internal/promotion/order.go
@@ -56,13 +56,16 @@
 	if err == nil {
 		r.orders.Inc(1)
 		state.orderedInstance, state.retryAt = plan.target.Server.ID, r.now().Add(promotionTimeout)
+		// The candidates must not go on before the order is known not to be carried out.
+		state.resumeAfter = r.now().Add(lateOrderTime)
 		err = r.order(ctx, service, plan.target.Server.ID, state.token)
 		r.recordAnswer(ctx, service, state, plan, err)
 	}
 	r.logPromotion(service, state, primary, plan, reason, r.now().Sub(started), err)
 	switch {
 	case err == nil:
-		state.promotedAt = r.now()
+		// A promotion ends the pauses.
+		state.promotedAt, state.paused = r.now(), nil
 		r.recordOrdered(ctx, service, state, &plan)
 	case errors.Is(err, ErrSuperseded):
 		r.releaseDuty(ctx, service, state)
@@ -115,14 +118,18 @@
 
 // plan asks all candidates for their received position and chooses the most advanced
 // one. The target is nil if an instance leads a newer term than the closed ones
-// already. If replicas confirm commits, it pauses the candidates, and resumes them if
-// it finds no target.
+// already. If replicas confirm commits, it pauses the candidates, so that they confirm none
+// after they were compared.
 func (r *Runner) plan(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot, primary *catalog.Server) (promotionPlan, error) {
 	sync := 0
 	if s := snapshot.Service(service); s != nil {
 		sync = s.SyncReplicas
 	}
 	all := eligibleCandidates(snapshot, service, primary)
+	if sync > 0 {
+		// A pause without an answer may be in force too.
+		state.paused = all
+	}
 	reports := r.queryCandidates(ctx, all, sync > 0)
 	closed := r.options.Terms.Closed(service)
 	for i := range reports {
@@ -144,14 +151,40 @@
 		plan.target = target
 		return plan, nil
 	}
-	if sync > 0 {
-		for _, report := range reports {
-			if err := r.options.Inspector.Resume(ctx, report.Server); err != nil {
-				r.options.Log.Warn("could not resume replication of a candidate", zap.String(logging.FieldInstance, report.Server.ID), zap.Error(err))
-			}
+	return plan, fmt.Errorf("%d of %d replicas answered: %w", len(reports), replicas, ErrNotReady)
+}
+
+// resumeRetryDelay is how long a candidate that could not be resumed is left alone.
+const resumeRetryDelay = time.Second
+
+// resumePaused resumes the candidates whose replication was paused for a promotion that was
+// not ordered, or whose order is not carried out any more. It takes the duty first, because
+// another holder may have paused them for its own comparison.
+func (r *Runner) resumePaused(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot) {
+	if len(state.paused) == 0 || r.now().Before(state.resumeAfter) {
+		return
+	}
+	if !r.holdsDuty(state) && !r.acquireDuty(ctx, service, state) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	defer cancel()
+	var left []*catalog.Server
+	for _, server := range state.paused {
+		if current := snapshot.Servers[server.ID]; current == nil || current.Started != server.Started {
+			// A restart ends the pause.
+			continue
+		}
+		if err := r.options.Inspector.Resume(ctx, server); err != nil {
+			r.options.Log.Warn("could not resume replication of a candidate", zap.String("service", service),
+				zap.String(logging.FieldInstance, server.ID), zap.Error(err))
+			left = append(left, server)
 		}
 	}
-	return plan, fmt.Errorf("%d of %d replicas answered: %w", len(reports), replicas, ErrNotReady)
+	state.paused = left
+	if len(left) > 0 {
+		state.resumeAfter = r.now().Add(resumeRetryDelay)
+	}
 }
 
 // pendingFirst returns the most advanced candidate. As long as an earlier order may be
--- /dev/null
+++ b/internal/promotion/paused_test.go
@@ -0,0 +1,57 @@
+package promotion
+
+import (
+	"errors"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("Replicas that confirm commits", func() {
+	// suspect makes three of five hosts suspect the primary and runs a few steps.
+	suspect := func(w *fakeFleet) {
+		for _, name := range []string{"h0", "h1", "h2"} {
+			w.failing[name] = true
+		}
+		w.run(10)
+	}
+
+	// Guards against replicas that stay paused when a promotion is given up: the primary goes
+	// on, and no commit is confirmed any more.
+	DescribeTable("are resumed after a promotion that was not ordered",
+		func(prepare func(*fakeFleet)) {
+			w := newFakeFleet(5, 1)
+			prepare(w)
+			suspect(w)
+			Expect(w.orders).To(BeEmpty())
+			Expect(w.paused).To(BeEmpty())
+		},
+		Entry("because too few of them answered", func(w *fakeFleet) { delete(w.received, "r1") }),
+		Entry("because one of them leads already", func(w *fakeFleet) {
+			w.fenced = false
+			w.leads = map[string]uint64{"r1": 7}
+		}),
+		Entry("because an order for another instance may still be carried out", func(w *fakeFleet) {
+			w.fenced = false
+			for _, r := range w.hosts {
+				state := &serviceState{}
+				state.expectOrder("gone", 1, w.now)
+				r.services["x"] = state
+			}
+		}),
+	)
+
+	// Guards against replicas that confirm commits which a late order then loses, and against
+	// ones that stay paused after the order can no longer come.
+	It("are resumed after an order without an answer only when it cannot be carried out late", func() {
+		w := newFakeFleet(5, 1)
+		w.answer = errors.New("no answer")
+		suspect(w)
+		Expect(w.orders).NotTo(BeEmpty())
+		clear(w.failing)
+		w.run(int(lateOrderTime/tickInterval) / 2)
+		Expect(w.paused).NotTo(BeEmpty())
+		w.run(int(lateOrderTime/tickInterval) + 20)
+		Expect(w.paused).To(BeEmpty())
+	})
+})
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -44,6 +44,8 @@
 	orders []order
 	answer error
 	paused map[string]bool
+	// leads holds the terms that instances lead.
+	leads  map[string]uint64
 	fenced bool
 	terms  *fakeTerms
 	// leases holds the hosts' leases.
@@ -135,7 +137,7 @@
 	if !ok {
 		return Candidate{}, errors.New("silent")
 	}
-	return Candidate{Server: server, Received: p}, nil
+	return Candidate{Server: server, Received: p, Primary: w.leads[server.ID] > 0, Epoch: w.leads[server.ID]}, nil
 }
 
 // Pause implements Inspector.
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -166,6 +166,10 @@
 	pendingTarget string
 	pendingToken  int64
 	pendingUntil  time.Time
+	// paused holds the candidates whose replication this host has paused, or may have. They
+	// are resumed from resumeAfter on.
+	paused      []*catalog.Server
+	resumeAfter time.Time
 	// closedEpoch is the newest term of which this host knows that no host uses its
 	// leader.
 	closedEpoch uint64
@@ -244,6 +248,7 @@
 
 // step checks the primary of one service and replaces it if there is a reason.
 func (r *Runner) step(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot) {
+	defer r.resumePaused(ctx, service, state, snapshot)
 	r.observeGeneration()
 	r.checkDuty(ctx, service, state)
 	r.restoreHistory(ctx, service, &state.history)
