--- a/internal/quota/history_test.go
+++ b/internal/quota/history_test.go
@@ -22,13 +22,17 @@
 // equal allocations and the others borrow. It makes fewer checks, because a check of more
 // hosts takes longer.
 func TestLargeFleetStaysWithinLimit(t *testing.T) {
-	const checks = "60"
+	setChecks(t, "60")
+	rapid.Check(t, func(t *rapid.T) { checkLimit(t, hosts.MaxSmallFleet+3) })
+}
+
+// setChecks sets the number of histories for one test.
+func setChecks(t *testing.T, checks string) {
 	before := flag.Lookup("rapid.checks").Value.String()
 	if err := flag.Set("rapid.checks", checks); err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = flag.Set("rapid.checks", before) }()
-	rapid.Check(t, func(t *rapid.T) { checkLimit(t, hosts.MaxSmallFleet+3) })
+	t.Cleanup(func() { _ = flag.Set("rapid.checks", before) })
 }
 
 // maxArrivals bounds the operations of one step over all hosts.
@@ -59,6 +63,11 @@
 			}
 		}
 	}
+	checkWindows(t, admitted, rate)
+}
+
+// checkWindows fails if some window has more operations than the limit and the slack allow.
+func checkWindows(t *rapid.T, admitted []time.Time, rate float64) {
 	allowed := (rate*5+rate)*1.1 + 20
 	for first, last := 0, 0; last < len(admitted); last++ {
 		for admitted[last].Sub(admitted[first]) > 5*time.Second {
