gateway: a signal to reload during the start does not end the process

By default SIGHUP ends a process, and nobody starts it again.

Change: the gateway command catches SIGHUP before it reads its settings; one that comes while it starts is a reload. A few milliseconds remain between the start of the process and the command, which only its starter can cover.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -21,6 +21,7 @@
 reports not ready, ends sessions between transactions and exits.`,
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
+			reloads := platform.CatchReloads()
 			s, err := platform.LoadSettings()
 			if err != nil {
 				return &ExitError{Code: ExitUsage, Err: err}
@@ -34,7 +35,7 @@
 			logging.AttachGoZero(log)
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
-			return platform.Run(ctx, s, log, output.Dropped)
+			return platform.Run(ctx, s, reloads, log, output.Dropped)
 		},
 	}
 	cmd.Flags().StringVar(&level, "log-level", "info", "least level that is logged: debug, info, warn or error")
