usage: operations of each account are counted by windows and reported once

Cause: a deployment asks for the operations of each client account by windows of wall-clock time; nothing counted them and no report was made.

Change: package usage. Each gateway counts the first statement of an operation that an instance began, and sends cumulative counts to two collectors about once a second. The holder of a leased duty adds them up, seals the sum in a record under a condition, and reports what the record says. platform/ makes the call; bramleylever usage shows the records.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -70,7 +70,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return &ExitError{Code: ExitUsage, Err: err}
 	})
-	root.AddCommand(newProxy(env), newDev(env), newGateway(env), newExplain(env), newBench(env), newStatus(env), newConfig(env), newKey(env), newStandin(env), newVersion(env))
+	root.AddCommand(newProxy(env), newDev(env), newGateway(env), newExplain(env), newUsage(env), newBench(env), newStatus(env), newConfig(env), newKey(env), newStandin(env), newVersion(env))
 	root.AddCommand(newServiceStates(env)...)
 	return root
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,12 @@
 
 func (openTerms) AddLeader(string, string, uint64) {}
 
+// OperationCounter counts the operations of client accounts.
+type OperationCounter interface {
+	// Count counts an operation that an instance began some time ago.
+	Count(account string, ago time.Duration)
+}
+
 // Options configures a Gateway.
 type Options struct {
 	Catalog   func() *catalog.Snapshot
@@ -65,6 +71,8 @@
 	Positions PositionSource
 	// Terms restricts the use of leaders. If nil, every leader may be used.
 	Terms Terms
+	// Usage is told of each operation that an instance began. If nil, none is counted.
+	Usage OperationCounter
 	// Domain is the host's failure domain.
 	Domain string
 	// Reachability is told which failure domains answer and which do not.
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -171,7 +171,7 @@
 		return connpool.Answer{}, false
 	}
 	defer conn.Release()
-	answer, err := op.do(conn, t, w, deadline, a)
+	answer, err := op.start(conn, t, w, deadline, a)
 	switch {
 	case answer.Refused != nil:
 		op.handleErrorCode(t, *answer.Refused, a)
@@ -326,7 +326,7 @@
 	}
 	defer conn.Release()
 	w := connpool.Work{Values: op.session.values, Prepared: c.prepared, Statements: []statement.Statement{c.statement}}
-	answer, err := op.do(conn, t, w, deadline, a)
+	answer, err := op.start(conn, t, w, deadline, a)
 	switch {
 	case answer.Refused != nil:
 		op.handleErrorCode(t, *answer.Refused, a)
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -228,7 +228,7 @@
 		Values: op.session.values, Prepared: c.prepared, Begin: begin,
 		Statements: []statement.Statement{c.statement},
 	}
-	answer, err := op.do(conn, t, w, deadline, a)
+	answer, err := op.start(conn, t, w, deadline, a)
 	if answer.Refused != nil {
 		op.handleErrorCode(t, *answer.Refused, a)
 		conn.Release()
--- a/internal/gatewayd/assemble.go
+++ b/internal/gatewayd/assemble.go
@@ -17,6 +17,7 @@
 	"github.com/bramleylever/bramleylever/internal/reachability"
 	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/internal/relay"
+	"github.com/bramleylever/bramleylever/internal/usage"
 )
 
 // components are the parts of a daemon.
@@ -32,6 +33,8 @@
 	leaders   *leadership.Runner
 	gateway   *gateway.Gateway
 	promotion *promotion.Runner
+	// usage is nil if no reports are asked for.
+	usage *usage.Runner
 }
 
 // assemble creates the parts and connects them; none of them runs yet.
@@ -67,8 +70,9 @@
 	})
 	c.registry.SetAlive(c.leaders.HostAlive)
 	d.relayCatalog(c)
+	counter := d.assembleUsage(c)
 	c.gateway = gateway.New(gateway.Options{
-		Catalog: c.follower.Snapshot, Changed: c.follower.Changed, Conns: c.router, Admission: c.limiter,
+		Catalog: c.follower.Snapshot, Changed: c.follower.Changed, Conns: c.router, Admission: c.limiter, Usage: counter,
 		Positions: c.router, Terms: c.leaders, Domain: o.Domain, Reachability: c.detector.domains, Log: d.log, Registry: o.Registry,
 	})
 	c.promotion = promotion.New(promotion.Options{
@@ -88,6 +92,9 @@
 	c.limiter.Register(server)
 	c.leaders.Register(server)
 	c.exchange.Register(server)
+	if c.usage != nil {
+		c.usage.Register(server)
+	}
 }
 
 // startLoops starts the control loops. Those that must end before a drain run until ctx
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -23,6 +23,7 @@
 	"github.com/bramleylever/bramleylever/internal/platform"
 	"github.com/bramleylever/bramleylever/internal/promotion"
 	"github.com/bramleylever/bramleylever/internal/quota"
+	"github.com/bramleylever/bramleylever/internal/usage"
 )
 
 const (
@@ -62,6 +63,10 @@
 	Dialer connpool.Dialer
 	// Promoter sends promotion orders.
 	Promoter promotion.Promoter
+	// Usage says how the usage of client accounts is reported, and UsageReporter takes the
+	// reports. A change needs a restart.
+	Usage         usage.Policy
+	UsageReporter usage.Reporter
 	// ServeCallers accepts callers for the gateway until it is closed.
 	ServeCallers func(*gateway.Gateway) (Callers, error)
 	// ServeReadiness answers the load balancer's readiness probes.
@@ -162,6 +167,8 @@
 	}
 	defer func() { _ = callers.Close() }()
 	unregistered := d.startLoops(ctx, background, c)
+	stopUsage := c.startUsage(background)
+	defer stopUsage()
 	if c.follower.WaitReady(ctx) == nil {
 		c.limiter.WaitRestored(ctx)
 		d.ready.Store(true)
