quota: an account beyond its limit gets its tokens by class; refused borrowers return in order

Change: routes get classes by their priority (catalog.Config.Classify). An operation leaves the tokens that more important ones are expected to ask for within 100 ms; one in ten refused for that counts as the most important. A lender tells refused borrowers different times to come back, at the rate of its tokens. With one priority there is one class. Builds of before send no class and count as the most important.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -41,6 +41,8 @@
 	Objective time.Duration
 	// Priority 0 is the highest.
 	Priority int
+	// Class is the rank of the priority among those of all routes; see Config.Classify.
+	Class Class
 	// Open says that callers need no key.
 	Open bool
 }
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -243,7 +243,7 @@
 	f.closed = 1
 }
 
-func (s *fixture) Admit(*catalog.Account, time.Time) bool { return s.admit }
+func (s *fixture) Admit(*catalog.Account, catalog.Class, time.Time) bool { return s.admit }
 
 const key = "the-key"
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,9 +22,9 @@
 	"github.com/bramleylever/bramleylever/internal/staleness"
 )
 
-// Admission decides whether an account may start an operation under its rate limit.
+// Admission decides whether an account may start an operation of a class under its rate limit.
 type Admission interface {
-	Admit(account *catalog.Account, now time.Time) bool
+	Admit(account *catalog.Account, class catalog.Class, now time.Time) bool
 }
 
 // Terms says whether this host may use the leaders of services. An instance that was
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -249,7 +249,7 @@
 	if !result.Succeeded() {
 		return nil, result
 	}
-	if !g.options.Admission.Admit(account, g.now()) {
+	if !g.options.Admission.Admit(account, route.Class, g.now()) {
 		return nil, statement.Result{Code: statement.Busy, Detail: "the rate of account " + account.Name + " is used up"}
 	}
 	op := &operation{session: s, route: route, account: account.Name, arrived: arrived}
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -14,6 +14,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/bramleylever/bramleylever/internal/catalog"
 )
 
 const (
@@ -113,14 +115,22 @@
 	retryAfter time.Duration
 
 	// allocations holds the allocations by host in the document last seen.
-	// emptyUntil is, by host, the time before which that host is not asked for a
-	// token again.
+	// emptyUntil is, by host and class, the time before which that host is not asked
+	// for a token again.
 	allocations map[string]allocation
-	emptyUntil  map[string]time.Time
+	emptyUntil  map[lenderClass]time.Time
+	// classes holds what is kept for each class of operations.
+	classes classes
+}
+
+// lenderClass is a host that lends tokens and the class of the operations that need them.
+type lenderClass struct {
+	host  string
+	class catalog.Class
 }
 
 func newAccount(now time.Time) *account {
-	return &account{refilledAt: now, demandUpdatedAt: now, tokens: initialTokens, emptyUntil: map[string]time.Time{}}
+	return &account{refilledAt: now, demandUpdatedAt: now, tokens: initialTokens, emptyUntil: map[lenderClass]time.Time{}}
 }
 
 // initialTokens is the number of operations that a host may admit at its start.
@@ -166,27 +176,17 @@
 	a.tokens = min(a.tokens, max(1, capacity))
 }
 
-// admit takes a token if there is one.
-func (a *account) admit(now time.Time) bool {
+// admit takes a token if there is one for the class.
+func (a *account) admit(class catalog.Class, now time.Time) bool {
 	a.recordArrival(now)
 	a.refill(now)
-	if a.tokens < 1 {
+	if !a.take(class, now) {
 		a.refusedSinceWrite = true
 		return false
 	}
-	a.tokens--
 	return true
 }
 
-// tokenWait returns how long it takes until a token is available.
-func (a *account) tokenWait(now time.Time) time.Duration {
-	rate := a.limit.rate * a.usableFraction(now)
-	if rate <= 0 {
-		return math.MaxInt64
-	}
-	return time.Duration(max(0, 1-a.tokens) / rate * float64(time.Second))
-}
-
 // recordArrival counts an operation in the demand.
 func (a *account) recordArrival(now time.Time) {
 	a.decayDemand(now)
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc"
 
 	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/peer"
 )
@@ -26,21 +27,21 @@
 
 // Lender borrows tokens from other hosts.
 type Lender interface {
-	// Borrow takes one token of an account from a host. If the host has none, wait
+	// Borrow takes one token of an account from a host for an operation of a class. If the host has none, wait
 	// is how long it takes until it has one.
-	Borrow(ctx context.Context, host hosts.Host, account string) (granted bool, wait time.Duration, err error)
+	Borrow(ctx context.Context, host hosts.Host, account string, class catalog.Class) (granted bool, wait time.Duration, err error)
 }
 
 // PeerLender implements Lender by gRPC calls to the other hosts.
 type PeerLender struct{ Peers *peer.Pool }
 
 // Borrow implements Lender.
-func (p PeerLender) Borrow(ctx context.Context, host hosts.Host, account string) (bool, time.Duration, error) {
+func (p PeerLender) Borrow(ctx context.Context, host hosts.Host, account string, class catalog.Class) (bool, time.Duration, error) {
 	conn, err := p.Peers.Conn(host.Address)
 	if err != nil {
 		return false, 0, err
 	}
-	reply, err := peerv1.NewQuotaClient(conn).Borrow(ctx, &peerv1.BorrowTokenRequest{Account: account})
+	reply, err := peerv1.NewQuotaClient(conn).Borrow(ctx, &peerv1.BorrowTokenRequest{Account: account, Class: uint32(class)})
 	if err != nil {
 		return false, 0, err
 	}
@@ -59,13 +60,13 @@
 
 // Borrow implements the gRPC service.
 func (s quotaService) Borrow(_ context.Context, request *peerv1.BorrowTokenRequest) (*peerv1.BorrowTokenReply, error) {
-	granted, wait := s.limiter.lend(request.GetAccount())
+	granted, wait := s.limiter.lend(request.GetAccount(), catalog.Class(min(request.GetClass(), uint32(catalog.MaxClass))))
 	return &peerv1.BorrowTokenReply{Granted: granted, WaitMs: wait.Milliseconds()}, nil
 }
 
 // lend takes one of this host's tokens for another host. It lends only for accounts in
 // the current configuration.
-func (l *Limiter) lend(name string) (bool, time.Duration) {
+func (l *Limiter) lend(name string, class catalog.Class) (bool, time.Duration) {
 	c := l.options.Accounts()[name]
 	if c == nil || !l.mayAllocate(name) {
 		return false, lenderBackoff
@@ -81,11 +82,10 @@
 		// The borrower has no allocation, so its demand counts on this host.
 		a.recordArrival(now)
 	}
-	if a.tokens < 1 {
+	if !a.take(class, now) {
 		a.refusedSinceWrite = a.refusedSinceWrite || large
-		return false, max(minLenderWait, a.tokenWait(now))
+		return false, a.returnTime(class, now)
 	}
-	a.tokens--
 	return true, 0
 }
 
@@ -94,10 +94,10 @@
 const minLenderWait = 10 * time.Millisecond
 
 // borrow takes a token from another host that may have one.
-func (l *Limiter) borrow(name string) bool {
-	for _, host := range l.lenders(name) {
+func (l *Limiter) borrow(name string, class catalog.Class) bool {
+	for _, host := range l.lenders(name, class) {
 		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
-		granted, wait, err := l.options.Lender.Borrow(ctx, host, name)
+		granted, wait, err := l.options.Lender.Borrow(ctx, host, name, class)
 		cancel()
 		if granted {
 			l.borrowed.Inc(1)
@@ -107,7 +107,7 @@
 			wait = lenderBackoff
 		}
 		l.mu.Lock()
-		l.account(name).emptyUntil[host.Name] = l.now().Add(wait)
+		l.account(name).emptyUntil[lenderClass{host.Name, class}] = l.now().Add(wait)
 		l.mu.Unlock()
 	}
 	return false
@@ -115,7 +115,7 @@
 
 // lenders returns the hosts to ask for a token: those that may have one, the ones
 // with the largest allocations first.
-func (l *Limiter) lenders(name string) []hosts.Host {
+func (l *Limiter) lenders(name string, class catalog.Class) []hosts.Host {
 	candidates := l.allocationHosts(name)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -123,7 +123,7 @@
 	now := l.now()
 	var out []hosts.Host
 	for _, h := range candidates {
-		if h.Name != l.options.Host && h.Address != "" && !now.Before(a.emptyUntil[h.Name]) {
+		if h.Name != l.options.Host && h.Address != "" && !now.Before(a.emptyUntil[lenderClass{h.Name, class}]) {
 			out = append(out, h)
 		}
 	}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -157,7 +157,7 @@
 // Admit takes one token for an operation of the account. Without one it borrows a
 // token from another host, and otherwise waits if a token is due within maxTokenWait.
 // It reports false if the limit is reached.
-func (l *Limiter) Admit(c *catalog.Account, now time.Time) bool {
+func (l *Limiter) Admit(c *catalog.Account, class catalog.Class, now time.Time) bool {
 	if c.Rate <= 0 {
 		return true
 	}
@@ -165,13 +165,13 @@
 	l.mu.Lock()
 	a := l.account(c.Name)
 	a.limit, a.hosts, a.equal = l.limit(c), l.allocationHostCount(), l.allocatesEqually(c.Name)
-	admitted := mayAllocate && a.admit(now)
+	admitted := mayAllocate && a.admit(class, now)
 	wait := time.Duration(math.MaxInt64)
 	if mayAllocate {
-		wait = a.tokenWait(now)
+		wait = a.tokenWait(class, now)
 	}
 	l.mu.Unlock()
-	if admitted || l.borrow(c.Name) {
+	if admitted || l.borrow(c.Name, class) {
 		return true
 	}
 	if wait <= maxTokenWait {
@@ -179,24 +179,22 @@
 		l.mu.Lock()
 		now = l.now()
 		a.refill(now)
-		if admitted = a.tokens >= 1; admitted {
-			a.tokens--
-		}
+		admitted = a.take(class, now)
 		l.mu.Unlock()
 	}
 	if !admitted {
-		l.refuse(c, a)
+		l.refuse(c, class, a)
 	}
 	return admitted
 }
 
-func (l *Limiter) refuse(c *catalog.Account, a *account) {
+func (l *Limiter) refuse(c *catalog.Account, class catalog.Class, a *account) {
 	l.mu.Lock()
 	fraction, demand, age := a.fraction, a.demand, l.now().Sub(a.renewedAt)
 	l.mu.Unlock()
 	l.refusals.Inc(1)
 	l.options.Log.Info("operation refused", zap.String(logging.FieldDecision, "refuse_rate"),
-		zap.String(logging.FieldAccount, c.Name), zap.Float64("rate", c.Rate),
+		zap.String(logging.FieldAccount, c.Name), zap.Float64("rate", c.Rate), zap.Int("class", int(class)),
 		zap.Float64("fraction", fraction), zap.Float64("demand_per_s", demand), zap.Duration("fraction_age", age))
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -46,6 +46,8 @@
 	account  *catalog.Account
 	// absent is the hosts that are not registered, although they may be running.
 	absent map[string]bool
+	// calls is the number of calls to lenders.
+	calls int
 }
 
 func newFleet(hosts int, rate float64) *fleet {
@@ -82,10 +84,11 @@
 }
 
 // Borrow implements Lender.
-func (f *fleet) Borrow(_ context.Context, host hosts.Host, account string) (bool, time.Duration, error) {
+func (f *fleet) Borrow(_ context.Context, host hosts.Host, account string, class catalog.Class) (bool, time.Duration, error) {
+	f.calls++
 	for _, l := range f.limiters {
 		if l.options.Host == host.Name {
-			granted, wait := l.lend(account)
+			granted, wait := l.lend(account, class)
 			return granted, wait, nil
 		}
 	}
@@ -108,13 +111,13 @@
 
 // serve reports whether a host admits one operation, with a borrowed token if needed.
 func (f *fleet) serve(l *Limiter) bool {
-	return l.mayAllocate("a") && f.admitAt(l) || l.borrow("a")
+	return l.mayAllocate("a") && f.admitAt(l) || l.borrow("a", 0)
 }
 
 func (f *fleet) admitAt(l *Limiter) bool {
 	a := l.account("a")
 	a.limit, a.hosts, a.equal = l.limit(f.account), l.allocationHostCount(), l.allocatesEqually("a")
-	return a.admit(f.now)
+	return a.admit(0, f.now)
 }
 
 var _ = Describe("Limiter", func() {
@@ -177,11 +180,11 @@
 			continue
 		}
 		for _, lender := range f.limiters[1:] {
-			for granted := true; granted; granted, _ = lender.lend("a") {
+			for granted := true; granted; granted, _ = lender.lend("a", 0) {
 				continue
 			}
 		}
-		Expect(f.limiters[0].borrow("a")).To(BeFalse())
+		Expect(f.limiters[0].borrow("a", 0)).To(BeFalse())
 		f.step(time.Second, nil)
 		lenderTokens := func() float64 {
 			sum := 0.0
@@ -192,7 +195,7 @@
 			return sum
 		}
 		before := lenderTokens()
-		Expect(f.limiters[0].borrow("a")).To(BeTrue())
+		Expect(f.limiters[0].borrow("a", 0)).To(BeTrue())
 		Expect(lenderTokens()).To(BeNumerically("~", before-1, 1e-9))
 	})
 
