gateway: what callers can make a process hold is bounded by its machine

Change: package membudget leases the bytes of messages, answers, session values and work of other hosts out of a quarter of limits.memory_mb; the first 8 KiB of each need no lease.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 test:
 	go test -count=1 -v $$(go list ./... | grep -v '/internal/e2e$$')
 	go test -count=1 -v ./internal/e2e $(E2E_FLAGS)
+	go test -count=1 -v ./platform -run Crowd -crowd
 
 race:
 	go test -race -short -count=1 ./...
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -170,6 +170,15 @@
 	return prepared != nil && len(c.prepared) >= maxPrepared && !c.prepared[prepared.name()]
 }
 
+// valuesBytes returns the size of the variables that the connection keeps.
+func (c *Conn) valuesBytes() int {
+	size := 0
+	for key, value := range c.values {
+		size += len(key) + len(value)
+	}
+	return size
+}
+
 // setupCost returns the number of variables that differ between the connection and the
 // values.
 func (c *Conn) setupCost(values Values) int {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -30,6 +30,9 @@
 	// limitBackoff is how long the pool opens no further connection to an instance
 	// after the instance reported that its connection limit is reached.
 	limitBackoff = 60 * time.Millisecond
+	// maxRetainedValues is the largest size of a session's variables with which a connection
+	// stays open after its use, in bytes.
+	maxRetainedValues = 16 << 10
 	// sweepInterval is how often idle connections are checked.
 	sweepInterval = 500 * time.Millisecond
 )
@@ -325,7 +328,7 @@
 	defer p.mu.Unlock()
 	in := c.instance
 	in.inUse--
-	if c.broken || in.removed {
+	if c.broken || in.removed || c.valuesBytes() > maxRetainedValues {
 		c.Close()
 		in.open--
 		p.openForWaiters(in)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/connpool"
+	"github.com/bramleylever/bramleylever/internal/membudget"
 	"github.com/bramleylever/bramleylever/internal/reachability"
 	"github.com/bramleylever/bramleylever/internal/staleness"
 )
@@ -73,6 +74,8 @@
 	Terms Terms
 	// Usage is told of each operation that an instance began. If nil, none is counted.
 	Usage OperationCounter
+	// Memory bounds what sessions keep; nil means no bound.
+	Memory *membudget.Budget
 	// Domain is the host's failure domain.
 	Domain string
 	// Reachability is told which failure domains answer and which do not.
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -12,6 +12,7 @@
 	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/membudget"
 	"github.com/bramleylever/bramleylever/internal/statement"
 	"github.com/bramleylever/bramleylever/position"
 )
@@ -33,6 +34,10 @@
 	closed   bool
 	values   connpool.Values
 	prepared map[string]connpool.Prepared
+	// kept is the size of the values and prepared statements in bytes, and memory the lease
+	// that covers it.
+	kept   int
+	memory *membudget.Lease
 	// position is the log position of the session's newest commit, learned at
 	// positionAt.
 	position   position.Position
@@ -60,7 +65,7 @@
 func (g *Gateway) Open(database, key string, closeWhenIdle func()) (*Session, statement.Result) {
 	s := &Session{
 		gateway: g, database: database, key: key, closeWhenIdle: closeWhenIdle, opened: g.now(),
-		prepared: map[string]connpool.Prepared{},
+		prepared: map[string]connpool.Prepared{}, memory: g.options.Memory.Lease(),
 	}
 	s.keepUntil = s.opened.Add(firstStatementTime)
 	if _, _, result := s.authorize(g.options.Catalog()); !result.Succeeded() {
@@ -126,6 +131,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
+	defer s.memory.Release()
 	if tx := s.tx; tx != nil {
 		s.tx = nil
 		tx.rollback()
@@ -183,10 +189,12 @@
 	case statement.Set:
 		return s.set(st)
 	case statement.Prepare:
-		s.prepared[st.Name] = connpool.Prepared{Writes: st.Writes, Shape: st.Value}
-		return statement.Result{}
+		return s.prepare(st)
 	case statement.Deallocate:
-		delete(s.prepared, st.Name)
+		if old, known := s.prepared[st.Name]; known {
+			s.kept -= len(st.Name) + len(old.Shape)
+			delete(s.prepared, st.Name)
+		}
 		return statement.Result{}
 	case statement.Begin:
 		return s.begin(st, arrived)
@@ -230,7 +238,34 @@
 	return statement.Result{Code: statement.Malformed, Detail: "the transaction failed; only its end is accepted"}
 }
 
+func (s *Session) prepare(st statement.Statement) statement.Result {
+	old, known := s.prepared[st.Name]
+	if refused := s.keep(st, len(old.Shape), known); !refused.Succeeded() {
+		return refused
+	}
+	s.prepared[st.Name] = connpool.Prepared{Writes: st.Writes, Shape: st.Value}
+	return statement.Result{}
+}
+
+// keep accounts for the name and the value of a statement, which the session keeps in place
+// of an old value if the name is known. It refuses what the memory budget has no room for.
+func (s *Session) keep(st statement.Statement, oldBytes int, known bool) statement.Result {
+	kept := s.kept + len(st.Value) - oldBytes
+	if !known {
+		kept += len(st.Name)
+	}
+	if err := s.memory.Hold(kept, 0); err != nil {
+		return statement.Result{Code: statement.Busy, Detail: "not run: " + err.Error()}
+	}
+	s.kept = kept
+	return statement.Result{}
+}
+
 func (s *Session) set(st statement.Statement) statement.Result {
+	old, known := s.values[st.Name]
+	if refused := s.keep(st, len(old), known); !refused.Succeeded() {
+		return refused
+	}
 	// Work on a connection refers to the map, so it is copied, not modified.
 	values := maps.Clone(s.values)
 	if values == nil {
--- a/internal/gatewayd/assemble.go
+++ b/internal/gatewayd/assemble.go
@@ -60,7 +60,7 @@
 	c.pool = connpool.New(connpool.Config{Dialer: o.Dialer, IdleTime: idleTime, Registry: o.Registry})
 	c.router = relay.NewRouter(relay.Options{
 		Self: o.Host, Pool: c.pool, Peers: c.peers, Hosts: c.registry.Hosts, Catalog: c.follower.Snapshot,
-		Revisions: c.follower.RevisionsForPeers, Hint: c.follower.HintFromPeer, Reachability: c.detector.peers, Log: d.log, Registry: o.Registry,
+		Revisions: c.follower.RevisionsForPeers, Hint: c.follower.HintFromPeer, Reachability: c.detector.peers, Memory: o.Memory, Log: d.log, Registry: o.Registry,
 	})
 	c.leaders = leadership.New(leadership.Options{
 		Self: o.Host, Store: o.Store, Peers: c.peers, Hosts: c.registry.Hosts, Counted: c.registry.Counted,
@@ -73,7 +73,7 @@
 	counter := d.assembleUsage(c)
 	c.gateway = gateway.New(gateway.Options{
 		Catalog: c.follower.Snapshot, Changed: c.follower.Changed, Conns: c.router, Admission: c.limiter, Usage: counter,
-		Positions: c.router, Terms: c.leaders, Domain: o.Domain, Reachability: c.detector.domains, Log: d.log, Registry: o.Registry,
+		Positions: c.router, Terms: c.leaders, Domain: o.Domain, Memory: o.Memory, Reachability: c.detector.domains, Log: d.log, Registry: o.Registry,
 	})
 	c.promotion = promotion.New(promotion.Options{
 		Host: o.Host, Domain: o.Domain, Store: o.Store, Catalog: c.follower.Snapshot,
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -19,6 +19,7 @@
 	"github.com/bramleylever/bramleylever/internal/gateway"
 	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/membudget"
 	"github.com/bramleylever/bramleylever/internal/peer"
 	"github.com/bramleylever/bramleylever/internal/platform"
 	"github.com/bramleylever/bramleylever/internal/promotion"
@@ -71,8 +72,10 @@
 	ServeCallers func(*gateway.Gateway) (Callers, error)
 	// ServeReadiness answers the load balancer's readiness probes.
 	ServeReadiness func(ready func() bool) (io.Closer, error)
-	Log            *zap.Logger
-	Registry       metrics.Registry
+	// Memory bounds what callers and other hosts can make the process hold; nil means no bound.
+	Memory   *membudget.Budget
+	Log      *zap.Logger
+	Registry metrics.Registry
 }
 
 // Callers serves the callers' connections.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -21,6 +21,10 @@
 	// keepaliveTimeout is how long to wait for the answer to a probe before the
 	// connection is closed.
 	keepaliveTimeout = 700 * time.Millisecond
+	// streamWindowBytes and connWindowBytes are the flow-control windows of a stream, and of
+	// all streams of a connection.
+	streamWindowBytes = 64 << 10
+	connWindowBytes   = 1 << 20
 )
 
 // Server is the gRPC server on which the components of the proxy register their
@@ -44,6 +48,8 @@
 func NewServer(listener net.Listener, registry metrics.Registry) *Server {
 	options := append(recovery.ServerOptions(),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		// A fixed window bounds what a stream can send before the receiver takes it in.
+		grpc.InitialWindowSize(streamWindowBytes), grpc.InitialConnWindowSize(connWindowBytes),
 		grpc.StatsHandler(NewTrafficStats(registry)),
 		// Closes the connection to a peer that became unreachable, which ends the
 		// peer's leases of connections that this host owns.
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -33,14 +33,14 @@
 }
 
 // open opens the stream to the owner. If it fails, nothing has been sent.
-func (h *remoteHandle) open(timeout time.Duration) error {
+func (h *remoteHandle) open(request *peerv1.LeaseRequest, timeout time.Duration) error {
 	conn, err := h.router.options.Peers.Conn(h.owner.Address)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancel(h.router.work)
 	timer := time.AfterFunc(timeout, cancel)
-	stream, err := peerv1.NewRelayClient(conn).Lease(ctx)
+	stream, err := peerv1.NewRelayClient(conn).Lease(announce(ctx, request))
 	if !timer.Stop() && err == nil {
 		err = context.DeadlineExceeded
 	}
@@ -56,7 +56,7 @@
 func (h *remoteHandle) Do(deadline time.Time, w connpool.Work) (connpool.Answer, error) {
 	request := toRequest(&w, time.Until(deadline))
 	if h.stream == nil {
-		if err := h.open(min(streamOpenTimeout, time.Until(deadline))); err != nil {
+		if err := h.open(request, min(streamOpenTimeout, time.Until(deadline))); err != nil {
 			h.router.ownerFailed(h.owner, err)
 			return connpool.Answer{}, h.ownerUnreached(fmt.Errorf("%w: %w", outcome.ErrNotRun, err))
 		}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -26,6 +26,7 @@
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/logging"
+	"github.com/bramleylever/bramleylever/internal/membudget"
 	"github.com/bramleylever/bramleylever/internal/peer"
 	"github.com/bramleylever/bramleylever/internal/reachability"
 	"github.com/bramleylever/bramleylever/internal/recovery"
@@ -62,7 +63,9 @@
 	Hint      func(*peerv1.CatalogRevisions)
 	// Reachability records which hosts answer.
 	Reachability *reachability.Tracker
-	Log          *zap.Logger
+	// Memory bounds the work of other hosts; nil means no bound.
+	Memory *membudget.Budget
+	Log    *zap.Logger
 	// Registry receives the metrics.
 	Registry metrics.Registry
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -34,6 +34,11 @@
 // host's connections.
 func (s service) Lease(stream peerv1.Relay_LeaseServer) error {
 	r := s.router
+	memory := r.options.Memory.Lease()
+	defer memory.Release()
+	if err := memory.Hold(announced(stream.Context()), memoryWait); err != nil {
+		return stream.Send(exhaustedReply(err))
+	}
 	first, err := stream.Recv()
 	if err != nil {
 		return err
@@ -67,10 +72,14 @@
 		if err := l.reply(reply); err != nil {
 			return err
 		}
+		memory.Release()
 		if request, err = stream.Recv(); err != nil {
 			// The other host has ended the lease or is gone.
 			return nil
 		}
+		if err := memory.Hold(requestBytes(request), 0); err != nil {
+			return stream.Send(exhaustedReply(err))
+		}
 	}
 }
 
