connpool: waiting requests are ordered by class, account and objective

Cause: the waiters for a connection were served in the order of arrival, but for the account of a released connection; a route's priority and objective ordered nothing, and a request that could not be in time waited until its deadline.

Change: package schedule, the order of work that waits for an instance: classes with a floor, accounts by the connection time they use, then the objective that can still be met. Class and time left travel with relayed work; builds of before count as the most important.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -67,7 +67,9 @@
 	values    Values
 	prepared  map[string]bool
 	idleSince time.Time
-	broken    bool
+	// takenAt is when the connection was handed out last.
+	takenAt time.Time
+	broken  bool
 	// state is the session state reported by the last answer.
 	state statement.State
 }
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -12,6 +12,7 @@
 
 	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/outcome"
+	"github.com/bramleylever/bramleylever/internal/schedule"
 	"github.com/bramleylever/bramleylever/internal/statement"
 )
 
@@ -51,6 +52,8 @@
 	now          func() time.Time
 	dials        metrics.Counter
 	limitReached metrics.Counter
+	refusedEarly metrics.Counter
+	shed         metrics.Counter
 	// interrupted is set by Interrupt.
 	interrupted atomic.Bool
 
@@ -72,6 +75,8 @@
 		cfg: cfg, now: time.Now, instances: map[string]*instance{},
 		dials:        metrics.GetOrRegisterCounter("connpool.dials_count", cfg.Registry),
 		limitReached: metrics.GetOrRegisterCounter("connpool.limit_reached_count", cfg.Registry),
+		refusedEarly: metrics.GetOrRegisterCounter("connpool.refused_early_count", cfg.Registry),
+		shed:         metrics.GetOrRegisterCounter("connpool.shed_count", cfg.Registry),
 	}
 }
 
@@ -86,14 +91,16 @@
 	open        int
 	inUse       int
 	dialing     int
-	waiters     []*waiter
+	// queue orders the waiters, which waiters holds by their work in the queue.
+	queue       schedule.Queue
+	waiters     map[*schedule.Work]*waiter
 	noDialUntil time.Time
 	removed     bool
 }
 
 // waiter waits for a connection or for permission to open one.
 type waiter struct {
-	account string
+	work schedule.Work
 	// ready receives a released connection, or nil for permission to open one. It is
 	// closed if the wait has failed with err.
 	ready chan *Conn
@@ -102,11 +109,26 @@
 
 // failWaiters ends the wait of all waiters with an error.
 func (in *instance) failWaiters(err error) {
-	for _, w := range in.waiters {
+	for work, w := range in.waiters {
+		in.queue.Remove(work)
 		w.err = err
 		close(w.ready)
 	}
-	in.waiters = nil
+	clear(in.waiters)
+}
+
+// remove takes a waiter out of the queue and reports whether it was waiting.
+func (in *instance) remove(w *waiter) bool {
+	delete(in.waiters, &w.work)
+	return in.queue.Remove(&w.work)
+}
+
+// choose takes the waiter of some work out of the queue to serve it.
+func (in *instance) choose(work *schedule.Work) *waiter {
+	w := in.waiters[work]
+	delete(in.waiters, work)
+	in.queue.Take(work)
+	return w
 }
 
 func key(server *catalog.Server) string {
@@ -117,7 +139,7 @@
 	k := key(server)
 	in := p.instances[k]
 	if in == nil {
-		in = &instance{server: server, interrupted: &p.interrupted}
+		in = &instance{server: server, interrupted: &p.interrupted, waiters: map[*schedule.Work]*waiter{}}
 		p.instances[k] = in
 	}
 	return in
@@ -136,14 +158,14 @@
 	if in == nil {
 		return 0
 	}
-	return in.inUse + len(in.waiters)
+	return in.inUse + in.queue.Len()
 }
 
 // Acquire returns a connection of the account, preferably the idle one whose values
 // need the fewest changes. The connections to the instance stay within limit.
-func (p *Pool) Acquire(ctx context.Context, server *catalog.Server, account string, values Values, limit Limit) (*Conn, error) {
+func (p *Pool) Acquire(ctx context.Context, server *catalog.Server, request Request, limit Limit) (*Conn, error) {
 	for {
-		c, err := p.take(ctx, server, account, values, limit)
+		c, err := p.take(ctx, server, request, limit)
 		if err != nil {
 			return nil, outcome.Wrap("get connection", server.ID, err)
 		}
@@ -155,7 +177,7 @@
 			p.Release(c)
 			continue
 		}
-		c, err = p.dial(ctx, server, account)
+		c, err = p.dial(ctx, server, request.Account)
 		var refusal *Refusal
 		if errors.As(err, &refusal) && refusal.Code == statement.MaxConns && p.canWait(server) {
 			continue
@@ -175,7 +197,7 @@
 
 // take returns a connection, or nil for permission to open one, which is then already
 // counted as open and in use.
-func (p *Pool) take(ctx context.Context, server *catalog.Server, account string, values Values, limit Limit) (*Conn, error) {
+func (p *Pool) take(ctx context.Context, server *catalog.Server, request Request, limit Limit) (*Conn, error) {
 	p.mu.Lock()
 	in := p.instance(server)
 	if in.removed {
@@ -187,8 +209,9 @@
 		return nil, ErrUnreachable
 	}
 	in.limit = limit
-	if c := in.takeIdle(account, values); c != nil {
+	if c := in.takeIdle(request.Account, request.Values); c != nil {
 		in.inUse++
+		c.takenAt = p.now()
 		p.mu.Unlock()
 		return c, nil
 	}
@@ -199,9 +222,11 @@
 		p.mu.Unlock()
 		return nil, nil
 	}
-	w := &waiter{account: account, ready: make(chan *Conn, 1)}
-	in.waiters = append(in.waiters, w)
+	w, err := p.enqueue(ctx, in, request)
 	p.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
 	return p.wait(ctx, in, w)
 }
 
@@ -239,14 +264,11 @@
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
-	for i, other := range in.waiters {
-		if other == w {
-			in.waiters = append(in.waiters[:i], in.waiters[i+1:]...)
-			p.mu.Unlock()
-			return nil, ErrNoConnection
-		}
-	}
+	waited := in.remove(w)
 	p.mu.Unlock()
+	if waited {
+		return nil, ErrNoConnection
+	}
 	// The waiter was served just before it gave up.
 	c, ok := <-w.ready
 	if !ok {
@@ -302,13 +324,12 @@
 		return nil, err
 	}
 	p.openForWaiters(in)
-	return &Conn{Link: link, Server: server, Account: account, instance: in, state: statement.Idle}, nil
+	return &Conn{Link: link, Server: server, Account: account, instance: in, state: statement.Idle, takenAt: p.now()}, nil
 }
 
 // admitWaiter lets the first waiter open a connection.
 func (p *Pool) admitWaiter(in *instance) {
-	w := in.waiters[0]
-	in.waiters = in.waiters[1:]
+	w := in.choose(in.queue.Next(p.now()))
 	in.open++
 	in.inUse++
 	in.dialing++
@@ -317,7 +338,7 @@
 
 // openForWaiters lets the first waiters open connections, as many as may be opened.
 func (p *Pool) openForWaiters(in *instance) {
-	for len(in.waiters) > 0 && p.mayOpen(in, in.limit) {
+	for in.queue.Len() > 0 && p.mayOpen(in, in.limit) {
 		p.admitWaiter(in)
 	}
 }
@@ -328,22 +349,21 @@
 	defer p.mu.Unlock()
 	in := c.instance
 	in.inUse--
+	now := p.now()
+	in.queue.Charge(c.Account, now.Sub(c.takenAt))
 	if c.broken || in.removed || c.valuesBytes() > maxRetainedValues {
 		c.Close()
 		in.open--
 		p.openForWaiters(in)
 		return
 	}
-	for i, w := range in.waiters {
-		if w.account != c.Account {
-			continue
-		}
-		in.waiters = append(in.waiters[:i], in.waiters[i+1:]...)
+	if work := in.successor(c.Account, now); work != nil {
 		in.inUse++
-		w.ready <- c
+		c.takenAt = now
+		in.choose(work).ready <- c
 		return
 	}
-	c.idleSince = p.now()
+	c.idleSince = now
 	in.idle = append(in.idle, c)
 	if len(in.idle) > in.limit.MaxIdle {
 		in.closeOldestIdle()
--- a/internal/connpool/work.go
+++ b/internal/connpool/work.go
@@ -62,11 +62,22 @@
 	Release()
 }
 
+// Request says for what a connection is acquired.
+type Request struct {
+	// Account is the client account, and Values are the session's variables.
+	Account string
+	Values  Values
+	// Class and Due order the requests that wait for a connection: how important the operation
+	// is, and when it must be answered to meet its objective; zero if it has none.
+	Class catalog.Class
+	Due   time.Time
+}
+
 // Source provides connections to instances.
 type Source interface {
-	// Acquire returns a connection to an instance on behalf of an account. The error
-	// is a *Refusal, or matches outcome.ErrNotRun.
-	Acquire(ctx context.Context, server *catalog.Server, account string, values Values) (Handle, error)
+	// Acquire returns a connection to an instance. The error is a *Refusal, or matches
+	// outcome.ErrNotRun.
+	Acquire(ctx context.Context, server *catalog.Server, request Request) (Handle, error)
 	// Load returns how many operations use or wait for connections to an instance, as
 	// far as this host knows.
 	Load(server *catalog.Server) int
@@ -82,8 +93,8 @@
 }
 
 // AcquireHandle acquires a connection and returns it as a Handle.
-func (p *Pool) AcquireHandle(ctx context.Context, server *catalog.Server, account string, values Values, limit Limit) (Handle, error) {
-	c, err := p.Acquire(ctx, server, account, values, limit)
+func (p *Pool) AcquireHandle(ctx context.Context, server *catalog.Server, request Request, limit Limit) (Handle, error) {
+	c, err := p.Acquire(ctx, server, request, limit)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/inspect.go
+++ b/internal/gateway/inspect.go
@@ -69,7 +69,7 @@
 
 func (i Inspector) ask(ctx context.Context, server *catalog.Server, st statement.Statement) (promotion.Candidate, error) {
 	g := i.gateway
-	conn, err := g.options.Conns.Acquire(ctx, server, anonymous, nil)
+	conn, err := g.options.Conns.Acquire(ctx, server, connpool.Request{Account: anonymous})
 	if err != nil {
 		return promotion.Candidate{}, err
 	}
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -262,7 +262,16 @@
 	defer func() { a.connecting += g.now().Sub(started) }()
 	ctx, cancel := context.WithTimeout(g.work, deadline.Sub(started)/acquireTimeoutDivisor)
 	defer cancel()
-	return g.options.Conns.Acquire(ctx, server, op.account, op.session.values)
+	return g.options.Conns.Acquire(ctx, server, op.request())
+}
+
+// request describes the operation to the source of connections.
+func (op *operation) request() connpool.Request {
+	r := connpool.Request{Account: op.account, Values: op.session.values, Class: op.route.Class}
+	if op.route.Objective > 0 {
+		r.Due = op.arrived.Add(op.route.Objective)
+	}
+	return r
 }
 
 // handleConnError handles a connection that could not be acquired or that failed.
--- a/internal/gateway/sample.go
+++ b/internal/gateway/sample.go
@@ -80,7 +80,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, sampleTimeout)
 	defer cancel()
-	conn, err := g.options.Conns.Acquire(ctx, server, anonymous, nil)
+	conn, err := g.options.Conns.Acquire(ctx, server, connpool.Request{Account: anonymous})
 	if err != nil {
 		return err
 	}
--- a/internal/relay/convert.go
+++ b/internal/relay/convert.go
@@ -22,6 +22,22 @@
 	}
 }
 
+// dueToProto returns the time that is left until an objective ends, at least 1 ms, or 0 if there
+// is none.
+func dueToProto(due time.Time) int64 {
+	if due.IsZero() {
+		return 0
+	}
+	return max(1, time.Until(due).Milliseconds())
+}
+
+func dueFromProto(ms int64) time.Time {
+	if ms <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(ms) * time.Millisecond)
+}
+
 func toStatement(s *statement.Statement) *peerv1.RelayStatement {
 	return &peerv1.RelayStatement{
 		Id: []byte(s.ID), Kind: uint32(s.Kind), ReadOnly: s.ReadOnly, Writes: s.Writes, Name: []byte(s.Name), Value: []byte(s.Value),
--- a/internal/relay/remote.go
+++ b/internal/relay/remote.go
@@ -26,7 +26,7 @@
 	router  *Router
 	owner   hosts.Host
 	server  *catalog.Server
-	account string
+	request connpool.Request
 
 	stream peerv1.Relay_LeaseClient
 	cancel context.CancelFunc
@@ -61,8 +61,8 @@
 			return connpool.Answer{}, h.ownerUnreached(fmt.Errorf("%w: %w", outcome.ErrNotRun, err))
 		}
 		request.Open = &peerv1.LeaseOpen{
-			ServerId: h.server.ID, Started: h.server.Started, Account: h.account,
-			Revisions: h.router.options.Revisions(),
+			ServerId: h.server.ID, Started: h.server.Started, Account: h.request.Account,
+			Revisions: h.router.options.Revisions(), Class: uint32(h.request.Class), DueMs: dueToProto(h.request.Due),
 		}
 	}
 	timer := time.AfterFunc(time.Until(deadline)+replyMargin, h.cancel)
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -244,17 +244,17 @@
 
 // Acquire implements connpool.Source. A relayed connection is opened when its first work
 // is sent.
-func (r *Router) Acquire(ctx context.Context, server *catalog.Server, account string, values connpool.Values) (connpool.Handle, error) {
-	owner, ok := r.owner(server, account)
+func (r *Router) Acquire(ctx context.Context, server *catalog.Server, request connpool.Request) (connpool.Handle, error) {
+	owner, ok := r.owner(server, request.Account)
 	if ok && owner.Name != r.options.Self {
 		r.relayed.Inc(1)
 		r.addLeases(server, 1)
-		return &remoteHandle{router: r, owner: owner, server: server, account: account}, nil
+		return &remoteHandle{router: r, owner: owner, server: server, request: request}, nil
 	}
 	if !ok {
 		r.direct.Inc(1)
 	}
-	handle, err := r.options.Pool.AcquireHandle(ctx, server, account, values, r.connLimit(r.options.Catalog(), server))
+	handle, err := r.options.Pool.AcquireHandle(ctx, server, request, r.connLimit(r.options.Catalog(), server))
 	if ok && errors.Is(err, connpool.ErrUnreachable) {
 		self := hosts.Host{Name: r.options.Self}
 		r.avoidPair(self, server)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -103,8 +103,11 @@
 	wait := time.Duration(first.GetRemainingMs()) * time.Millisecond / acquireWaitDivisor
 	ctx, cancel := context.WithTimeout(stream.Context(), wait)
 	defer cancel()
-	values := fromRequest(first).Values
-	handle, err := r.options.Pool.AcquireHandle(ctx, server, open.GetAccount(), values, r.connLimit(snapshot, server))
+	request := connpool.Request{
+		Account: open.GetAccount(), Values: fromRequest(first).Values,
+		Class: catalog.Class(min(open.GetClass(), uint32(catalog.MaxClass))), Due: dueFromProto(open.GetDueMs()),
+	}
+	handle, err := r.options.Pool.AcquireHandle(ctx, server, request, r.connLimit(snapshot, server))
 	if err != nil {
 		return nil, err
 	}
