cli: config check finds what is wrong with a gateway's configuration, and what it changes

Cause: an operator learned only from refused callers that a route led nowhere, two accounts shared a key, or a limit contradicted another.

Change: package configcheck with the checks and the differences, the reader of the platform's document in platform/, and bramleylever config check with text, JSON and exit codes. The product's own records are checked by config validate and compared by config diff as before; the new findings do not cover them.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -30,7 +30,7 @@
 record still has that revision; config get prints it.`,
 	}
 	cmd.AddCommand(newConfigValidate(env), newConfigApply(env), newConfigGet(env),
-		newConfigHistory(env), newConfigDiff(env))
+		newConfigHistory(env), newConfigDiff(env), newConfigCheck(env))
 	return cmd
 }
 
