gateway: a read leaves its failure domain only for a gain that its caller notices

Change: a read stays in its domain unless it would probably take longer there by more than a tenth of its objective (docs/design/uneven.md).

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -10,9 +10,11 @@
 const (
 	// stalenessMargin is subtracted from a route's staleness limit.
 	stalenessMargin = 20 * time.Millisecond
-	// crossDomainCost is added to the estimated time of a read at an instance in
-	// another failure domain, because bandwidth between domains is scarce.
-	crossDomainCost = 5 * time.Millisecond
+	// A read stays in its failure domain, because bandwidth between domains is scarce, unless
+	// it would probably take longer there by more than minSpillGain and by more than the
+	// fraction 1/spillDivisor of its objective.
+	minSpillGain = 5 * time.Millisecond
+	spillDivisor = 10
 	// primaryCost is added to the estimated time of a read at the primary, so that
 	// reads prefer replicas.
 	primaryCost = 5 * time.Millisecond
@@ -113,8 +115,7 @@
 		return target{server: g.chooseLeader(snapshot, op.route.Service, tried, now), requireLeader: true, reason: reason}
 	}
 	primary := snapshot.Primary(op.route.Service)
-	var best *catalog.Server
-	var bestCost time.Duration
+	var best, local readCandidate
 	for _, server := range snapshot.Groups[op.route.Service] {
 		if tried[server.ID] || !snapshot.Usable(server) {
 			continue
@@ -123,15 +124,38 @@
 		if !usable {
 			continue
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost = server, cost
+		best.improve(server, cost)
+		if server.Domain == g.options.Domain {
+			local.improve(server, cost)
 		}
 	}
+	if local.server != nil && local.cost <= best.cost+spillGain(op.route.Objective) {
+		best = local
+	}
 	reason := reasonReplica
-	if best != nil && best == primary {
+	if best.server != nil && best.server == primary {
 		reason = reasonPrimaryBound
 	}
-	return target{server: best, after: after, age: age, reason: reason}
+	return target{server: best.server, after: after, age: age, reason: reason}
+}
+
+// readCandidate is an instance that may serve a read, and how long that probably takes.
+type readCandidate struct {
+	server *catalog.Server
+	cost   time.Duration
+}
+
+// improve takes an instance that is better than the present one.
+func (c *readCandidate) improve(server *catalog.Server, cost time.Duration) {
+	if c.server == nil || cost < c.cost {
+		c.server, c.cost = server, cost
+	}
+}
+
+// spillGain returns how much faster a read with an objective must probably be in another
+// failure domain to leave its own.
+func spillGain(objective time.Duration) time.Duration {
+	return max(minSpillGain, objective/spillDivisor)
 }
 
 // readCost estimates how long a read takes at an instance. It reports false if the
@@ -149,9 +173,6 @@
 	}
 	slots := max(1, server.Slots)
 	cost := in.serviceTime + in.serviceTime*time.Duration(load)/time.Duration(slots)
-	if server.Domain != g.options.Domain {
-		cost += crossDomainCost
-	}
 	if primary {
 		cost += primaryCost
 	}
