--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,8 +80,10 @@
 	Domain string
 	// Reachability is told which failure domains answer and which do not.
 	Reachability *reachability.Tracker
-	Log          *zap.Logger
-	Registry     metrics.Registry
+	// Domains knows which failure domains do not answer; nil knows none.
+	Domains  *reachability.Domains
+	Log      *zap.Logger
+	Registry metrics.Registry
 }
 
 // Gateway holds the state shared by all sessions of a host.
@@ -121,7 +123,7 @@
 	return &Gateway{
 		work: work, interruptWork: interrupt, drainStats: newDrainStats(o.Registry),
 		opened:  metrics.GetOrRegisterCounter("gateway.sessions_opened_count", o.Registry),
-		options: o, log: o.Log, bounds: staleness.New(), health: newHealth(o.Reachability),
+		options: o, log: o.Log, bounds: staleness.New(), health: newHealth(o.Reachability, o.Domains),
 		stats: newStats(o.Registry), now: time.Now, sampleRequests: syncx.NewSingleFlight(), leaderProofs: syncx.NewSingleFlight(),
 		sessions: map[*Session]struct{}{},
 	}
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -58,6 +58,7 @@
 // health tracks the health of instances and the current leader of each service.
 type health struct {
 	reachability *reachability.Tracker
+	domains      *reachability.Domains
 	mu           sync.Mutex
 	instances    map[string]*instanceHealth
 	leaders      map[string]leader
@@ -65,8 +66,8 @@
 	epochs map[string]uint64
 }
 
-func newHealth(tracker *reachability.Tracker) *health {
-	return &health{reachability: tracker, instances: map[string]*instanceHealth{}, leaders: map[string]leader{}, epochs: map[string]uint64{}}
+func newHealth(tracker *reachability.Tracker, domains *reachability.Domains) *health {
+	return &health{reachability: tracker, domains: domains, instances: map[string]*instanceHealth{}, leaders: map[string]leader{}, epochs: map[string]uint64{}}
 }
 
 func (h *health) get(server *catalog.Server) *instanceHealth {
@@ -81,6 +82,7 @@
 // recordAnswer records an answer, its response time and the instance's position.
 func (h *health) recordAnswer(server *catalog.Server, took time.Duration, p position.Position, now time.Time) {
 	h.reachability.Reached(server.Domain)
+	h.domains.Reached(server.Domain)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	in := h.get(server)
@@ -117,7 +119,7 @@
 
 // recordOwnerFailure records that a connection owner of an instance could not be
 // reached or could not reach it. It counts as a failure of the instance only once
-// maxFailedOwners owners have failed.
+// maxFailedOwners owners have failed, or if nothing in the instance's failure domain answers.
 func (h *health) recordOwnerFailure(server *catalog.Server, owner string, now time.Time) {
 	h.reachability.Failed(server.Domain)
 	h.mu.Lock()
@@ -126,7 +128,7 @@
 		in.failedOwners = map[string]bool{}
 	}
 	in.failedOwners[owner] = true
-	failed := len(in.failedOwners) >= maxFailedOwners
+	failed := len(in.failedOwners) >= maxFailedOwners || h.domains.Silent(server.Domain)
 	h.mu.Unlock()
 	if failed {
 		h.recordFailure(server, now)
--- a/internal/gatewayd/assemble.go
+++ b/internal/gatewayd/assemble.go
@@ -47,7 +47,7 @@
 	c.registry.OnReconnected(c.follower.Resync)
 	c.exchange = catalog.NewExchange(c.follower, self, c.registry.Hosts, c.peers, d.log)
 	c.detector = &isolationDetector{
-		domains: reachability.New(o.Domain), peers: reachability.New(o.Host),
+		domains: reachability.New(o.Domain), peers: reachability.New(o.Host), silent: reachability.NewDomains(),
 		fleet: func() int { count, _ := c.registry.Live(); return count },
 	}
 	c.limiter = quota.NewLimiter(quota.Options{
@@ -65,6 +65,7 @@
 	c.leaders = leadership.New(leadership.Options{
 		Self: o.Host, Store: o.Store, Peers: c.peers, Hosts: c.registry.Hosts, Counted: c.registry.Counted,
 		Revisions: c.follower.RevisionsForPeers, Hint: c.follower.HintFromPeer, Catalog: c.exchange, Log: d.log, Registry: o.Registry,
+		Observe:    c.detector.observe,
 		DemoteHere: func(ctx context.Context, id string, epoch uint64) error { return c.gateway.Demote(ctx, id, epoch) },
 		Fenced:     func() bool { return d.Settings().Fenced },
 	})
@@ -73,7 +74,7 @@
 	counter := d.assembleUsage(c)
 	c.gateway = gateway.New(gateway.Options{
 		Catalog: c.follower.Snapshot, Changed: c.follower.Changed, Conns: c.router, Admission: c.limiter, Usage: counter,
-		Positions: c.router, Terms: c.leaders, Domain: o.Domain, Memory: o.Memory, Reachability: c.detector.domains, Log: d.log, Registry: o.Registry,
+		Positions: c.router, Terms: c.leaders, Domain: o.Domain, Memory: o.Memory, Reachability: c.detector.domains, Domains: c.detector.silent, Log: d.log, Registry: o.Registry,
 	})
 	c.promotion = promotion.New(promotion.Options{
 		Host: o.Host, Domain: o.Domain, Store: o.Store, Catalog: c.follower.Snapshot,
--- a/internal/gatewayd/isolation.go
+++ b/internal/gatewayd/isolation.go
@@ -24,10 +24,26 @@
 	// domains tracks the other failure domains, and peers the other hosts by name.
 	domains *reachability.Tracker
 	peers   *reachability.Tracker
+	// silent knows which other failure domains do not answer.
+	silent *reachability.Domains
 	// fleet returns the number of registered hosts.
 	fleet func() int
 }
 
+// observe records whether another host answered a heartbeat. Heartbeats go to several failure
+// domains all the time, so a cut shows in them before callers' work meets it.
+func (i *isolationDetector) observe(h hosts.Host, answered bool) {
+	if answered {
+		i.domains.Reached(h.Domain)
+		i.peers.Reached(h.Name)
+		i.silent.Reached(h.Domain)
+		return
+	}
+	i.domains.Failed(h.Domain)
+	i.peers.Failed(h.Name)
+	i.silent.Failed(h.Domain, h.Name)
+}
+
 // isolated reports whether the host can reach no other failure domain, or no other host
 // of a large fleet, in which most work passes through other hosts.
 func (i *isolationDetector) isolated() bool {
--- a/internal/gatewayd/isolation_test.go
+++ b/internal/gatewayd/isolation_test.go
@@ -41,4 +41,23 @@
 		i := cutOffFromPeers(hosts.MaxSmallFleet)
 		Consistently(i.isolated, 800*time.Millisecond).Should(BeFalse())
 	})
+
+	// Guards against a cut that shows only once callers' work has failed: heartbeats go to other
+	// failure domains all the time.
+	It("detects a cut from heartbeats alone", func() {
+		i := &isolationDetector{
+			domains: reachability.New("d0"), peers: reachability.New("h0"), silent: reachability.NewDomains(), fleet: func() int { return 2 },
+		}
+		h1, h2 := hosts.Host{Name: "h1", Domain: "d1"}, hosts.Host{Name: "h2", Domain: "d1"}
+		i.observe(h1, true)
+		for range 2 {
+			i.observe(h1, false)
+			i.observe(h2, false)
+		}
+		Eventually(i.isolated, 2*time.Second).Should(BeTrue())
+		Expect(i.silent.Silent("d1")).To(BeTrue())
+		i.observe(h2, true)
+		Expect(i.isolated()).To(BeFalse())
+		Expect(i.silent.Silent("d1")).To(BeFalse())
+	})
 })
--- a/internal/leadership/runner.go
+++ b/internal/leadership/runner.go
@@ -61,6 +61,8 @@
 	Hint      func(*peerv1.CatalogRevisions)
 	// Catalog exchanges changes of the catalog with other hosts.
 	Catalog *catalog.Exchange
+	// Observe is called after each heartbeat with whether the other host answered. It may be nil.
+	Observe func(h hosts.Host, answered bool)
 	// DemoteHere asks an instance, over this host's connections, to become a replica.
 	DemoteHere func(ctx context.Context, serverID string, epoch uint64) error
 	// Fenced says that the platform refuses promotion orders with an old fencing token,
@@ -237,6 +239,9 @@
 	}
 	sent, requested := r.now(), time.Now()
 	reply, err := peerv1.NewLeadershipClient(conn).Heartbeat(ctx, request)
+	if r.options.Observe != nil && callers.Err() == nil {
+		r.options.Observe(h, err == nil)
+	}
 	if err != nil {
 		return
 	}
