frontend: messages of callers on the PostgreSQL interface share a memory budget

Cause: each of 6,000 callers could make a proxy hold a message of 16 MiB, also an unfinished one.

Change: a message above 16 KiB, and what a batch holds, needs a lease of the budget that follows from limits.memory_bytes (default 1 GiB); without one it waits 2 s and is refused with 53200. The budget has room for two of the largest messages on any machine.

--- a/internal/frontend/config.go
+++ b/internal/frontend/config.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/bramleylever/bramleylever/internal/membudget"
 	"github.com/bramleylever/bramleylever/internal/pool"
 	"github.com/bramleylever/bramleylever/internal/records"
 	"github.com/bramleylever/bramleylever/internal/topology"
@@ -64,6 +65,8 @@
 	// MaxMessageBytes limits the size of a message and of a batch of messages
 	// from a caller; 0 means 16 MiB.
 	MaxMessageBytes int
+	// Memory bounds the messages of all callers; nil means no bound.
+	Memory *membudget.Budget
 	// MaxConnections limits the connections of callers; 0 means 10,000.
 	MaxConnections int
 	// LoginTimeout limits the duration of start-up and authentication; 0 means
--- a/internal/frontend/login.go
+++ b/internal/frontend/login.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
+	"github.com/bramleylever/bramleylever/internal/membudget"
 	"github.com/bramleylever/bramleylever/internal/records"
 	"github.com/bramleylever/bramleylever/internal/wire"
 )
@@ -183,6 +184,8 @@
 	switch {
 	case errors.Is(err, wire.ErrTooLarge):
 		return &sqlError{"54000", "not run: " + err.Error()}
+	case errors.Is(err, membudget.ErrExhausted):
+		return &sqlError{"53200", "not run: " + err.Error()}
 	case errors.Is(err, wire.ErrMalformed), errors.Is(err, wire.ErrTruncated):
 		return protocolViolation("%v", err)
 	default:
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -151,6 +151,8 @@
 		pid:    s.nextPID,
 		ending: make(chan struct{}),
 	}
+	ses.memory = s.cfg.Memory.Lease()
+	ses.in.Reserve = ses.reserve
 	ses.out = wire.NewWriter(&deadlineWriter{conn, ses.ending})
 	var secret [4]byte
 	_, _ = rand.Read(secret[:])
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -10,6 +10,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/bramleylever/bramleylever/internal/membudget"
 	"github.com/bramleylever/bramleylever/internal/pool"
 	"github.com/bramleylever/bramleylever/internal/recovery"
 	"github.com/bramleylever/bramleylever/internal/routing"
@@ -42,9 +43,11 @@
 // session serves the connection of one caller. It passes messages between the
 // caller, the protocol state and the backend connection.
 type session struct {
-	srv    *Server
-	in     *wire.Reader
-	out    *wire.Writer
+	srv *Server
+	in  *wire.Reader
+	out *wire.Writer
+	// memory covers the messages that are not answered yet.
+	memory *membudget.Lease
 	st     *state
 	pid    uint32
 	secret uint32
@@ -97,6 +100,7 @@
 		s.returnConn(s.conn, false)
 	}
 	s.out.Discard()
+	s.memory.Release()
 	s.mu.Lock()
 	_ = s.net.Close()
 	s.mu.Unlock()
@@ -113,6 +117,7 @@
 		if s.in.Buffered() == 0 && len(s.st.batch.messages) == 0 {
 			s.in.Release()
 			s.st.batch.reset()
+			s.memory.Release()
 		}
 		kind, frame, err := s.in.Next()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -164,11 +169,20 @@
 }
 
 func (s *session) handleReadError(err error) {
-	if errors.Is(err, wire.ErrTooLarge) || errors.Is(err, wire.ErrMalformed) {
+	if errors.Is(err, wire.ErrTooLarge) || errors.Is(err, wire.ErrMalformed) || errors.Is(err, membudget.ErrExhausted) {
 		s.fatal(readFailure(err))
 	}
 }
 
+// reserve makes the memory budget cover the messages of the batch and one of the given size.
+func (s *session) reserve(size int) error {
+	pending := 0
+	if s.st != nil {
+		pending = len(s.st.batch.data)
+	}
+	return s.memory.Hold(pending+size, membudget.DefaultWait)
+}
+
 // handleMessage handles one message of the caller and reports whether the
 // session continues.
 func (s *session) handleMessage(kind byte, frame []byte) bool {
@@ -182,6 +196,10 @@
 	case 'F':
 		return s.refuse(&sqlError{"0A000", "not run: function calls are not supported"}, true)
 	}
+	if err := s.reserve(len(frame)); err != nil {
+		s.fatal(readFailure(err))
+		return false
+	}
 	synced := kind == 'Q' || kind == 'S'
 	if s.st.skipUntilSync && kind != 'S' {
 		return true
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -31,8 +31,9 @@
 	// remains is for the program's code and what the runtime exceeds its limit by.
 	budgetFraction = 0.25
 	limitFraction  = 0.7
-	// minBudgetBytes lets a machine of any size take a few of the largest messages.
-	minBudgetBytes = 8 << 20
+	// minMessages is the number of the largest messages that a machine of any size takes at
+	// the same time.
+	minMessages = 2
 	// DefaultWait is how long a message waits for its lease.
 	DefaultWait = 2 * time.Second
 )
@@ -66,14 +67,15 @@
 	return b
 }
 
-// ForMachine returns the budget for a machine with the given memory, and sets the memory limit
-// of the runtime. It returns nil, without a bound, if the memory is not known.
-func ForMachine(memoryBytes int64, r metrics.Registry) *Budget {
+// ForMachine returns the budget for a machine with the given memory, whose callers send messages
+// up to a size, and sets the memory limit of the runtime. It returns nil, without a bound, if the
+// memory is not known.
+func ForMachine(memoryBytes int64, largestMessage int, r metrics.Registry) *Budget {
 	if memoryBytes <= 0 {
 		return nil
 	}
 	debug.SetMemoryLimit(int64(limitFraction * float64(memoryBytes)))
-	return New(max(minBudgetBytes, int64(budgetFraction*float64(memoryBytes))), r)
+	return New(max(minMessages*copies*int64(largestMessage), int64(budgetFraction*float64(memoryBytes))), r)
 }
 
 // Leased returns the number of bytes that leases hold.
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bramleylever/bramleylever/internal/frontend"
+	"github.com/bramleylever/bramleylever/internal/membudget"
 	"github.com/bramleylever/bramleylever/internal/pool"
 	"github.com/bramleylever/bramleylever/internal/records"
 	"github.com/bramleylever/bramleylever/internal/shares"
@@ -82,6 +83,7 @@
 		Registry:        p.registry,
 		Seed:            p.identity.Incarnation,
 		MaxMessageBytes: s.Limits.MessageBytes,
+		Memory:          membudget.ForMachine(s.Limits.MemoryBytes, s.Limits.MessageBytes, p.registry),
 		MaxConnections:  s.Limits.Connections,
 		QueueTimeout:    s.Routing.QueueWait,
 		QueueRequests:   s.Limits.QueueRequests,
--- a/internal/settings/ranges.go
+++ b/internal/settings/ranges.go
@@ -36,6 +36,7 @@
 		{"log.routing_sample", s.Log.RoutingSample, 0, 1_000_000},
 		{"limits.connections", s.Limits.Connections, 1, 100_000},
 		{"limits.message_bytes", s.Limits.MessageBytes, 1 << 10, 1 << 30},
+		{"limits.memory_bytes", int(s.Limits.MemoryBytes), 64 << 20, 1 << 40},
 		{"limits.queue_requests", s.Limits.QueueRequests, 1, 100_000},
 		{"limits.queue_bytes", s.Limits.QueueBytes, 1 << 10, 1 << 30},
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -98,10 +98,13 @@
 
 // Limits limits the resources that callers can use on this host.
 type Limits struct {
-	Connections   int `json:"connections,default=6000"`
-	MessageBytes  int `json:"message_bytes,default=16777216"`
-	QueueRequests int `json:"queue_requests,default=1000"`
-	QueueBytes    int `json:"queue_bytes,default=8388608"`
+	Connections  int `json:"connections,default=6000"`
+	MessageBytes int `json:"message_bytes,default=16777216"`
+	// MemoryBytes is the memory that the process may use; a part of it bounds the callers'
+	// messages.
+	MemoryBytes   int64 `json:"memory_bytes,default=1073741824"`
+	QueueRequests int   `json:"queue_requests,default=1000"`
+	QueueBytes    int   `json:"queue_bytes,default=8388608"`
 }
 
 // DrainTime configures the times of a graceful shutdown.
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -38,6 +38,10 @@
 // Reader splits a byte stream into messages. It is not safe for concurrent
 // use.
 type Reader struct {
+	// Reserve is called before the buffer grows beyond what all connections may have, with its
+	// new size. An error of it ends the reading. It may be nil.
+	Reserve func(size int) error
+
 	src    io.Reader
 	max    int
 	buf    []byte
@@ -129,7 +133,9 @@
 	}
 	for r.end-r.start < n {
 		if r.start+n > len(r.buf) {
-			r.makeRoom(n)
+			if err := r.makeRoom(n); err != nil {
+				return err
+			}
 		}
 		got, err := r.src.Read(r.buf[r.end:])
 		r.end += got
@@ -146,34 +152,41 @@
 // makeRoom moves the unread bytes to the start of the buffer and enlarges the buffer once it is
 // full. Beyond the pooled size it at most doubles per call, so a sender that announces a large
 // message and does not send it causes no large allocation.
-func (r *Reader) makeRoom(n int) {
+func (r *Reader) makeRoom(n int) error {
 	unread := r.buf[r.start:r.end]
 	if r.start > 0 && (n <= len(r.buf) || len(unread) < len(r.buf)) {
 		copy(r.buf, unread)
 		r.start, r.end = 0, len(unread)
 		if n <= len(r.buf) || r.end < len(r.buf) {
-			return
+			return nil
 		}
 	}
 	if r.end < len(r.buf) {
-		return
+		return nil
 	}
-	r.enlarge(n)
+	return r.enlarge(n)
 }
 
-func (r *Reader) enlarge(n int) {
+func (r *Reader) enlarge(n int) error {
 	unread := r.buf[r.start:r.end]
 	old := r.pooled
+	size := min(max(n, pooledBytes), 2*len(r.buf))
+	if len(r.buf) >= pooledBytes && r.Reserve != nil {
+		if err := r.Reserve(size); err != nil {
+			return err
+		}
+	}
 	if len(r.buf) < pooledBytes {
 		r.pooled, _ = bufferPool.Get().(*[]byte)
 		r.buf = *r.pooled
 	} else {
 		r.pooled = nil
-		r.buf = make([]byte, min(max(n, pooledBytes), 2*len(r.buf)))
+		r.buf = make([]byte, size)
 	}
 	r.end = copy(r.buf, unread)
 	r.start = 0
 	if old != nil {
 		bufferPool.Put(old)
 	}
+	return nil
 }
