hosts: connections, tokens and duties go to hosts in proportion to their capacity

Cause: a host of 0.192 of a core owned as many connections, lent as many tokens and collected as much as one of 0.8, and was late.

Change: a host registers its processor capacity (limits.cpu_share, limits.cores), and rendezvous hashing weighs hosts by it. Equal capacities give the order of before; heartbeats stay evenly spread. docs/design/uneven.md. The tests of crowds take a multiple of their size and another memory by flags, for runs by hand; their defaults are as before.

No network: of 4,000 keys a host with 0.8 beside three with 0.2 goes first for 0.8/1.4 of them, within 150.

--- a/internal/gatewayd/assemble.go
+++ b/internal/gatewayd/assemble.go
@@ -40,7 +40,7 @@
 // assemble creates the parts and connects them; none of them runs yet.
 func (d *Daemon) assemble() *components {
 	o := d.options
-	self := hosts.Host{Name: o.Host, Domain: o.Domain, Address: o.PeerAddress}
+	self := hosts.Host{Name: o.Host, Domain: o.Domain, Address: o.PeerAddress, Capacity: o.Capacity}
 	c := &components{peers: peer.NewPool(), registry: hosts.New(self, o.Store, d.log)}
 	d.hosts.Store(c.registry)
 	c.follower = catalog.NewFollower(o.Store, o.Layout, func() time.Duration { return d.Settings().DrainTime }, d.log)
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -56,6 +56,9 @@
 type Options struct {
 	Host   string
 	Domain string
+	// Capacity is the host's processor capacity in cores, 0 if it is not known. Ownership of
+	// connections and duties go to hosts in proportion to it.
+	Capacity float64
 	// PeerAddress is the address at which other hosts reach this one.
 	PeerAddress string
 	Reloadable
--- a/internal/hosts/hosts.go
+++ b/internal/hosts/hosts.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"strings"
 	"sync"
 	"time"
@@ -55,6 +56,21 @@
 	Domain string `json:"failure_domain"`
 	// Address is where other hosts connect to it.
 	Address string `json:"address"`
+	// Capacity is what the host has, in processor cores, relative to the other hosts; 0 if it
+	// does not say. Work for the fleet goes to hosts in proportion to it.
+	Capacity float64 `json:"capacity,omitempty"`
+}
+
+// defaultCapacity is assumed of a host that does not say its capacity. A host of a build of
+// before does not.
+const defaultCapacity = 0.5
+
+// capacity returns the capacity, which is positive and finite.
+func (h Host) capacity() float64 {
+	if h.Capacity > 0 && !math.IsInf(h.Capacity, 0) {
+		return h.Capacity
+	}
+	return defaultCapacity
 }
 
 // Registry registers this host and tracks the other registered hosts.
--- a/internal/leadership/neighbors.go
+++ b/internal/leadership/neighbors.go
@@ -32,7 +32,7 @@
 	}
 	own, foreign := neighborsOwnDomain, neighborsOtherDomains
 	ranked := slices.Clone(all)
-	hosts.Rank(ranked, self)
+	hosts.RankEqually(ranked, self)
 	for _, h := range ranked {
 		if h.Name == self || h.Address == "" || slices.ContainsFunc(chosen, func(c hosts.Host) bool { return c.Name == h.Name }) {
 			continue
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -186,13 +186,13 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	var best hosts.Host
-	var bestScore uint64
+	var bestScore hosts.Score
 	for _, h := range ranked {
 		self := h.Name == r.options.Self
 		if !self && (h.Address == "" || r.avoids(h, now)) || now.Before(r.avoidedPairs[pair{h.Name, server.ID}]) {
 			continue
 		}
-		if s := hosts.Score(key, h); best.Name == "" || s > bestScore {
+		if s := hosts.ScoreOf(key, h); best.Name == "" || s.Above(bestScore) {
 			best, bestScore = h, s
 		}
 		if count--; count == 0 {
