usage: a window that may be off by more than the tolerance is logged as an error

Cause: the tolerance in the settings was read and used by nothing.

Change: the line of a sealed window is an error if a larger part of the hosts than the tolerance is missing.

Measured: the package's tests pass; no other effect.

--- a/internal/usage/record.go
+++ b/internal/usage/record.go
@@ -103,8 +103,14 @@
 const keptRecords = 60
 
 // logRecord logs the result of a window, from which an operator finds the hosts that counted.
+// It is an error if so many hosts are missing that the counts may be off by more than the
+// tolerance.
 func (r *Runner) logRecord(record *Record, took time.Duration) {
-	r.options.Log.Info("usage window sealed", zap.String(logging.FieldDecision, "seal_usage"),
+	level := zap.InfoLevel
+	if float64(len(record.Missing)) > r.options.Policy.Tolerance*float64(record.Hosts) {
+		level = zap.ErrorLevel
+	}
+	r.options.Log.Log(level, "usage window sealed", zap.String(logging.FieldDecision, "seal_usage"),
 		zap.Int64("window", int64(record.Window)), zap.Int64("token", record.Token), zap.Int("hosts", record.Hosts),
 		zap.Strings("missing", record.Missing), zap.Strings("restarted", record.Restarted), zap.Int64("operations", record.Counts.Total()),
 		zap.Int("accounts", len(record.Counts)), zap.Duration("since_end", took))
