--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -98,39 +98,6 @@
 	removed     bool
 }
 
-// waiter waits for a connection or for permission to open one.
-type waiter struct {
-	work schedule.Work
-	// ready receives a released connection, or nil for permission to open one. It is
-	// closed if the wait has failed with err.
-	ready chan *Conn
-	err   error
-}
-
-// failWaiters ends the wait of all waiters with an error.
-func (in *instance) failWaiters(err error) {
-	for work, w := range in.waiters {
-		in.queue.Remove(work)
-		w.err = err
-		close(w.ready)
-	}
-	clear(in.waiters)
-}
-
-// remove takes a waiter out of the queue and reports whether it was waiting.
-func (in *instance) remove(w *waiter) bool {
-	delete(in.waiters, &w.work)
-	return in.queue.Remove(&w.work)
-}
-
-// choose takes the waiter of some work out of the queue to serve it.
-func (in *instance) choose(work *schedule.Work) *waiter {
-	w := in.waiters[work]
-	delete(in.waiters, work)
-	in.queue.Take(work)
-	return w
-}
-
 func key(server *catalog.Server) string {
 	return fmt.Sprintf("%s/%d", server.ID, server.Started)
 }
@@ -254,29 +221,6 @@
 	oldest.Close()
 }
 
-func (p *Pool) wait(ctx context.Context, in *instance, w *waiter) (*Conn, error) {
-	select {
-	case c, ok := <-w.ready:
-		if !ok {
-			return nil, w.err
-		}
-		return c, nil
-	case <-ctx.Done():
-	}
-	p.mu.Lock()
-	waited := in.remove(w)
-	p.mu.Unlock()
-	if waited {
-		return nil, ErrNoConnection
-	}
-	// The waiter was served just before it gave up.
-	c, ok := <-w.ready
-	if !ok {
-		return nil, w.err
-	}
-	return c, nil
-}
-
 // takeIdle removes and returns the account's idle connection with the lowest setup
 // cost, or nil if there is none.
 func (in *instance) takeIdle(account string, values Values) *Conn {
--- a/internal/connpool/waiting.go
+++ b/internal/connpool/waiting.go
@@ -15,6 +15,39 @@
 	estimateMargin = 2
 )
 
+// waiter waits for a connection or for permission to open one.
+type waiter struct {
+	work schedule.Work
+	// ready receives a released connection, or nil for permission to open one. It is
+	// closed if the wait has failed with err.
+	ready chan *Conn
+	err   error
+}
+
+// failWaiters ends the wait of all waiters with an error.
+func (in *instance) failWaiters(err error) {
+	for work, w := range in.waiters {
+		in.queue.Remove(work)
+		w.err = err
+		close(w.ready)
+	}
+	clear(in.waiters)
+}
+
+// remove takes a waiter out of the queue and reports whether it was waiting.
+func (in *instance) remove(w *waiter) bool {
+	delete(in.waiters, &w.work)
+	return in.queue.Remove(&w.work)
+}
+
+// choose takes the waiter of some work out of the queue to serve it.
+func (in *instance) choose(work *schedule.Work) *waiter {
+	w := in.waiters[work]
+	delete(in.waiters, work)
+	in.queue.Take(work)
+	return w
+}
+
 // enqueue makes a request wait for a connection. One that would probably not get it in time is
 // refused at once, so that its caller can go elsewhere. If too many wait, the least important
 // one is given up. The caller holds the lock.
@@ -63,3 +96,27 @@
 	}
 	return own
 }
+
+// wait waits until the waiter is served or ctx ends.
+func (p *Pool) wait(ctx context.Context, in *instance, w *waiter) (*Conn, error) {
+	select {
+	case c, ok := <-w.ready:
+		if !ok {
+			return nil, w.err
+		}
+		return c, nil
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	waited := in.remove(w)
+	p.mu.Unlock()
+	if waited {
+		return nil, ErrNoConnection
+	}
+	// The waiter was served just before it gave up.
+	c, ok := <-w.ready
+	if !ok {
+		return nil, w.err
+	}
+	return c, nil
+}
