promotion: the suspicions of a large fleet go to the hosts that act first

Change: in fleets above 14 hosts suspicions are told to the first three hosts in the order of the service, which act on a quorum of what they hear.

No network, 60 hosts: at most 10 store calls until a primary is replaced that all hosts suspect.

--- a/internal/gatewayd/assemble.go
+++ b/internal/gatewayd/assemble.go
@@ -80,7 +80,10 @@
 		Host: o.Host, Domain: o.Domain, Store: o.Store, Catalog: c.follower.Snapshot,
 		Lease: c.registry.Lease, Hosts: c.registry.Live, Promoter: o.Promoter, Inspector: c.gateway.Inspector(),
 		Failing: c.gateway.Failing, Terms: c.leaders, LeaderEpoch: c.gateway.LeaderEpoch, FindLeader: c.gateway.FindLeader,
-		Rank:   func(service string) int { return rank(o.Host, service, c) },
+		Rank: func(service string) int { return rank(o.Host, service, c) },
+		Coordinators: promotion.GRPCCoordinators{
+			Peers: c.peers, Ranked: func(service string) []hosts.Host { return ranked(service, c) },
+		},
 		Fenced: func() bool { return d.Settings().Fenced },
 		Log:    d.log, Registry: o.Registry,
 	})
@@ -93,6 +96,7 @@
 	c.limiter.Register(server)
 	c.leaders.Register(server)
 	c.exchange.Register(server)
+	c.promotion.Register(server)
 	if c.usage != nil {
 		c.usage.Register(server)
 	}
--- a/internal/gatewayd/gatewayd.go
+++ b/internal/gatewayd/gatewayd.go
@@ -205,12 +205,18 @@
 // rank returns the position of a host in the order in which the hosts that are alive act
 // on a service. In a small fleet every host is the first.
 func rank(self, service string, c *components) int {
+	return max(0, slices.IndexFunc(ranked(service, c), func(h hosts.Host) bool { return h.Name == self }))
+}
+
+// ranked returns the hosts that are alive in the order in which they act on a service; nil in
+// a small fleet.
+func ranked(service string, c *components) []hosts.Host {
 	if known, _ := c.registry.Live(); known <= hosts.MaxSmallFleet {
-		return 0
+		return nil
 	}
 	all := c.leaders.Alive()
 	hosts.Rank(all, service)
-	return max(0, slices.IndexFunc(all, func(h hosts.Host) bool { return h.Name == self }))
+	return all
 }
 
 // accounts returns the accounts of the current configuration, or nil without one.
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bramleylever/bramleylever/internal/catalog"
+	"github.com/bramleylever/bramleylever/internal/hosts"
 	"github.com/bramleylever/bramleylever/internal/platform"
 	"github.com/bramleylever/bramleylever/internal/recovery"
 )
@@ -106,6 +107,9 @@
 	// Rank returns the position of this host in the order in which the hosts that are
 	// alive act on a service; 0 is the first. In a small fleet every host is the first.
 	Rank func(service string) int
+	// Coordinators are told the suspicions of a large fleet. If nil, all are written to the
+	// store.
+	Coordinators Coordinators
 	// Fenced says that the platform refuses orders with an old fencing token, and that
 	// a primary loses its role when another one takes it.
 	Fenced   func() bool
@@ -121,6 +125,9 @@
 	// identity is the value of the duties of this process. A process of the same host
 	// before or after it has another one.
 	identity []byte
+	heard    heardSuspicions
+	// spawn runs a function in the background.
+	spawn func(name string, f func())
 
 	mu       sync.Mutex
 	services map[string]*serviceState
@@ -137,8 +144,13 @@
 	// reportedLease the lease to which the suspicion is bound.
 	reportedSuspect string
 	reportedLease   platform.LeaseID
-	suspicion       platform.OwnedKey
-	missingSince    time.Time
+	// toldSuspect is the instance of the suspicion that the coordinators were told at toldAt,
+	// and suspectedSince since when this host suspects the primary.
+	toldSuspect    string
+	toldAt         time.Time
+	suspectedSince time.Time
+	suspicion      platform.OwnedKey
+	missingSince   time.Time
 	// reason is why the primary is to be replaced, since reasonSince. turnDelay is how
 	// long this host waits before it acts on it.
 	reason      Reason
@@ -179,8 +191,11 @@
 
 // New returns a runner; Run starts it.
 func New(o Options) *Runner {
+	if o.Coordinators == nil {
+		o.Coordinators = noCoordinators{}
+	}
 	return &Runner{
-		options: o, now: time.Now, services: map[string]*serviceState{},
+		options: o, now: time.Now, spawn: recovery.Go, services: map[string]*serviceState{},
 		identity: fmt.Appendf(nil, "%s %016x", o.Host, rand.Uint64()),
 		orders:   metrics.GetOrRegisterCounter("promotion.orders_count", o.Registry),
 	}
@@ -272,10 +287,13 @@
 	if unplanned && now.Sub(state.promotedAt) < minPromotionInterval {
 		return
 	}
+	if reason == Unreachable && r.waitsForCoordinators(service, state, primary) {
+		return
+	}
 	if !r.acquireDuty(ctx, service, state) {
 		return
 	}
-	if reason == Unreachable && !r.suspicionsHaveQuorum(ctx, service, state, primary) {
+	if reason == Unreachable && !r.heardQuorum(service, primary) && !r.suspicionsHaveQuorum(ctx, service, state, primary) {
 		return
 	}
 	r.promote(ctx, service, state, snapshot, primary, reason)
@@ -291,10 +309,15 @@
 	if state.token != 0 {
 		return true
 	}
+	rank := r.options.Rank(service)
 	if state.reason == Unreachable {
-		return elapsed >= state.turnDelay
+		switch {
+		case len(r.options.Coordinators.Of(service)) == 0:
+			return elapsed >= state.turnDelay
+		case rank >= maxCoordinators:
+			return elapsed >= recordDelay+state.turnDelay
+		}
 	}
-	rank := r.options.Rank(service)
 	if rank >= maxCoordinators {
 		return elapsed >= othersDelay+time.Duration(rank)*turnStep
 	}
@@ -330,8 +353,8 @@
 	return true
 }
 
-// updateSuspicion keeps this host's suspicion in the store in line with its own
-// traffic, and returns the reason to replace the primary, if there is one.
+// updateSuspicion keeps what the coordinators and the store know of this host's suspicion in
+// line with its own traffic, and returns the reason to replace the primary, if there is one.
 func (r *Runner) updateSuspicion(ctx context.Context, service string, state *serviceState, primary *catalog.Server) Reason {
 	if primary == nil {
 		if state.missingSince.IsZero() {
@@ -350,10 +373,17 @@
 	if r.options.Failing(primary) {
 		suspected = primary.ID
 	}
-	if id, _ := r.options.Lease(); suspected != state.reportedSuspect || state.suspicion.Unsure() || suspected != "" && id != state.reportedLease {
+	var coordinators []hosts.Host
+	if suspected != "" || state.toldSuspect != "" {
+		coordinators = r.options.Coordinators.Of(service)
+		r.tell(ctx, service, state, suspected, coordinators)
+	}
+	id, _ := r.options.Lease()
+	stale := suspected != state.reportedSuspect || state.suspicion.Unsure() || suspected != "" && id != state.reportedLease
+	if !r.recordsLater(state, suspected, coordinators) && stale {
 		r.recordSuspicion(ctx, service, state, suspected)
 	}
-	if suspected == "" {
+	if suspected == "" && !r.heardQuorum(service, primary) {
 		return NoReason
 	}
 	return Unreachable
