usage: the holder asks hosts themselves for counts that no collector has

Change: from 2 s after the end of a window the holder also asks up to 32 of the hosts whose counts are missing.

Measured: "hosts that send their counts to others" fails without it and passes with it; the histories pass.

--- a/internal/usage/fleet_test.go
+++ b/internal/usage/fleet_test.go
@@ -53,6 +53,8 @@
 	// cutFromPeers and cutFromStore block its messages; jump is the error of its time of day.
 	cutFromPeers, cutFromStore bool
 	jump                       time.Duration
+	// hidden are hosts of whose existence this one does not know.
+	hidden map[string]bool
 }
 
 func newFleet(count int) *fleet {
@@ -75,7 +77,7 @@
 		Policy: Policy{Window: testWindow, Tolerance: 0.05, ReportTime: 10 * time.Second},
 		Host:   h.name, Store: hostStore{Store: f.memory, host: h},
 		Lease:      func() (platform.LeaseID, time.Duration) { return h.lease, h.until.Sub(f.now) },
-		Registered: f.registered, Alive: f.alive, Peers: peers{h}, Reporter: reporter{h},
+		Registered: f.registered, Alive: h.alive, Peers: peers{h}, Reporter: reporter{h},
 		Fenced:  func() bool { return true },
 		WallNow: func() time.Time { return f.now.Add(h.jump) }, SteadyNow: func() time.Time { return f.now },
 		Log: zap.NewNop(), Registry: metrics.NewRegistry(),
@@ -92,10 +94,11 @@
 	return all
 }
 
-func (f *fleet) alive() []hosts.Host {
+func (h *host) alive() []hosts.Host {
 	var all []hosts.Host
-	for _, h := range f.hosts {
-		if !h.dead {
+	hidden := h.hidden
+	for _, h := range h.fleet.hosts {
+		if !h.dead && !hidden[h.name] {
 			all = append(all, hosts.Host{Name: h.name})
 		}
 	}
--- a/internal/usage/settle.go
+++ b/internal/usage/settle.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,7 +69,7 @@
 	record := r.sum(w, expected)
 	if lost == nil {
 		if len(record.Missing) > 0 || r.mayBeLost(w) {
-			r.collect(ctx, w, now, first)
+			r.collect(ctx, w, now, append(slices.Clone(first), r.toAsk(record.Missing, sinceEnd)...))
 			record = r.sum(w, expected)
 			lost, _ = r.record(w)
 		}
@@ -109,6 +111,25 @@
 	return sealed, true
 }
 
+const (
+	// askDelay is how long after the end of a window the holder asks hosts themselves for their
+	// counts. They may have sent them to other collectors, if they know of other hosts.
+	askDelay = 2 * time.Second
+	// maxAsked bounds the hosts that are asked in one go.
+	maxAsked = 32
+)
+
+// toAsk returns the hosts that the holder asks for the counts that it lacks.
+func (r *Runner) toAsk(missing []string, sinceEnd time.Duration) []hosts.Host {
+	if sinceEnd < askDelay {
+		return nil
+	}
+	all := slices.Clone(r.options.Registered())
+	all = slices.DeleteFunc(all, func(h hosts.Host) bool { return !slices.Contains(missing, h.Name) })
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(maxAsked, len(all))]
+}
+
 // mayBeLost reports whether a record of the window may have been in the store before it came
 // back from an older copy. A report without it could differ from the one that was made.
 func (r *Runner) mayBeLost(w Window) bool {
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -117,6 +117,15 @@
 			f.hosts[1].cutFromStore = false
 		},
 		"a clock that is 3 s ahead": func(f *fleet) { f.hosts[2].jump = 3 * time.Second },
+		"hosts that send their counts to others": func(f *fleet) {
+			first, _ := f.hosts[0].runner.collectorsOf()
+			hidden := map[string]bool{first[0].Name: true, first[1].Name: true}
+			for _, h := range f.hosts {
+				if !hidden[h.name] {
+					h.hidden = hidden
+				}
+			}
+		},
 		"answers of the store that are lost": func(f *fleet) {
 			f.memory.SetFault(platformtest.Fault{LoseAnswers: true})
 			f.load(2 * time.Second)
