--- a/internal/usage/runner.go
+++ b/internal/usage/runner.go
@@ -111,7 +111,7 @@
 	clock WallClock
 	table *Table
 	// records are the known records of the windows that are kept, and reported the newest
-	// window whose report is known to be accepted. Only windows after firstWindow are due.
+	// window whose report is known to be accepted; only later ones are due.
 	records  map[Window]SharedRecord
 	reported Window
 	// generation is that of the store, known since this reading of the steady clock.
