usage: neutral names in examples and tests

Cause: the example of a command held an address of the users' pages, and tests words of a customer's trade.

Change: neutral names.

Measured: the tests of both packages pass.

--- a/internal/cli/usage.go
+++ b/internal/cli/usage.go
@@ -26,7 +26,7 @@
 		Long: `Show the last windows of usage as they stand in the platform's key-value service:
 the holder that sealed each, the operations counted, and the hosts whose counts
 are missing or cover only a part of the window.`,
-		Example: "  bramleylever usage --store 10.200.1.7:8466 --account growers",
+		Example: "  bramleylever usage --store 127.0.0.1:2379 --account billing",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, cancel := context.WithTimeout(cmd.Context(), usageReadTimeout)
--- a/internal/usage/fleet_test.go
+++ b/internal/usage/fleet_test.go
@@ -23,7 +23,7 @@
 var (
 	errCut   = errors.New("cut off")
 	epoch    = time.Unix(1_800_000_000, 0)
-	accounts = []string{"clerks", "growers"}
+	accounts = []string{"reports", "billing"}
 )
 
 // fleet is a set of hosts that exchange messages by function calls, on a virtual clock.
