review: case 9, a planned stop drops requests that were sent ahead

Cause: after its last answer the connection takes one more message, for which the notice of the stop is the answer; the rest of the read buffer is dropped.

--- a/review/standin2/case_rows.go
+++ b/review/standin2/case_rows.go
@@ -58,7 +58,7 @@
 		if !g.awaitReady(2 * time.Second) {
 			continue
 		}
-		c, err := open(g.frontend, database, apiKey)
+		c, err := open(g.frontend, boundedDatabase, apiKey)
 		if err != nil {
 			d.rec.line("client at %s: STARTUP: %v", g.name, err)
 			continue
--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -61,6 +61,12 @@
 	if _, err := c.conn.Write([]byte("QUERY " + id + " " + text + "\r\n")); err != nil {
 		return result{}, err
 	}
+	return c.readAnswer(limit)
+}
+
+// readAnswer reads the answer to one request.
+func (c *client) readAnswer(limit time.Duration) (result, error) {
+	_ = c.conn.SetDeadline(time.Now().Add(limit))
 	var r result
 	for {
 		line, err := readLine(c.reader)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -30,8 +30,8 @@
 	"memory": runMemory,
 	"sync":   runSync,
 	"entry":  runEntry,
-	"key":    runKey,
 	"rows":   runRows,
+	"ahead":  runAhead,
 }
 
 func main() {
