promotion: the logs to compare come from a stored list of members

Cause: plan() took the registered instances less one for the number of replicas. Once the entry of the crashed primary had left the catalog, two replicas were registered, one was subtracted for a primary that was not there, and one answer of two was enough. The log shows "1 of 2 replicas answered" until the entry leaves, and then the order. By the same cause a replica whose entry the store had lost was not counted, one that drained or was evacuated was not asked, and a host that had just started could not know of either.

Change: for services whose replicas confirm commits, the store keeps the list of the processes that may hold acknowledged commits (decision 0008). Members are added when they register and retired when the leader and enough others are shown to have what they had. One comparison (internal/promotion/members.go, without I/O) decides from the list, the reports and the catalog; members that are not registered are asked at their last address. Members that are registered are waited for; those that are gone and silent for 15 s without a primary. Services without sync_replicas go the way of before.

--- a/internal/promotion/decide.go
+++ b/internal/promotion/decide.go
@@ -42,6 +42,9 @@
 	TermEnded Reason = "term_ended"
 )
 
+// isPlanned reports whether the primary that is replaced works.
+func (r Reason) isPlanned() bool { return r == Draining || r == Evacuated }
+
 // Suspicion is a host's report that it cannot reach a primary.
 type Suspicion struct {
 	Host   string `json:"host"`
@@ -128,10 +131,3 @@
 	}
 	return best
 }
-
-// coversAcknowledged reports whether the candidates found must include every
-// acknowledged commit. With n replicas, of which sync confirm each commit, any n-sync+1
-// of them include one that confirmed it.
-func coversAcknowledged(found, replicas, sync int) bool {
-	return sync == 0 || found >= max(1, replicas-sync+1)
-}
--- a/internal/promotion/history.go
+++ b/internal/promotion/history.go
@@ -45,13 +45,18 @@
 
 // newest returns the newest term that the record names; the zero term without one.
 func (r *termRecord) newest() position.Term {
-	switch {
-	case r.Next != nil:
+	if r.Next != nil {
 		return r.Next.Term
-	case len(r.History) > 0:
-		return r.History[len(r.History)-1].Term
 	}
-	return position.Term{}
+	return r.begun()
+}
+
+// begun returns the newest term that is known to have begun; the zero term without one.
+func (r *termRecord) begun() position.Term {
+	if len(r.History) == 0 {
+		return position.Term{}
+	}
+	return r.History[len(r.History)-1].Term
 }
 
 // isBehind reports whether another record names a newer term, or knows that the same term
@@ -79,6 +84,8 @@
 	failures int
 	// generation is that of the store that was last compared with this host's knowledge.
 	generation platform.Generation
+	// required says that a promotion does not go on without the stored history.
+	required bool
 	// unconfirmed is a planned promotion whose beginning is not known yet.
 	unconfirmed *promotionPlan
 	confirmBy   time.Time
@@ -161,10 +168,10 @@
 
 // historyFailed counts a failure of the store. It returns the error, or nil if the
 // promotion goes on: a service without a primary is worse than a beginning that the next
-// duty holder does not know.
+// duty holder does not know, unless a later promotion could lose commits by that.
 func (r *Runner) historyFailed(service string, h *termHistory, err error) error {
 	h.failures++
-	if h.failures < maxHistoryFailures {
+	if h.required || h.failures < maxHistoryFailures {
 		return err
 	}
 	r.options.Log.Warn("promotion goes on without the stored term history", zap.String("service", service), zap.Error(err))
--- a/internal/promotion/history_test.go
+++ b/internal/promotion/history_test.go
@@ -40,14 +40,6 @@
 		w.orders = nil
 		return w
 	}
-	// restart replaces the hosts' memory.
-	restart := func(w *fakeFleet) {
-		_, err := w.memory.Txn(context.Background(), platform.Txn{Deletes: []string{dutyPrefix + "x"}})
-		Expect(err).NotTo(HaveOccurred())
-		for _, r := range w.hosts {
-			delete(r.services, "x")
-		}
-	}
 
 	// Guards against a replaced primary that is promoted again because its log is longer:
 	// commits that had been given up come back, and those of the term between are gone.
@@ -61,7 +53,7 @@
 		},
 		Entry("with the same hosts", func(*fakeFleet) {}),
 		Entry("after a restart of all hosts, by what the store holds", func(w *fakeFleet) {
-			restart(w)
+			w.restart()
 			w.terms.leader = 0
 		}),
 		Entry("in a store restored from an older copy, by what the hosts know", func(w *fakeFleet) {
@@ -99,7 +91,7 @@
 		w.received = map[string]position.Position{"r1": at(99)}
 		w.answer, w.orders = nil, nil
 		w.now = w.now.Add(2 * minPromotionInterval)
-		restart(w)
+		w.restart()
 		w.run(30)
 		Expect(w.orders).NotTo(BeEmpty())
 		Expect(w.orders[0].id).To(Equal("r1"))
--- a/internal/promotion/order.go
+++ b/internal/promotion/order.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,7 +12,6 @@
 	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/leadership"
 	"github.com/bramleylever/bramleylever/internal/logging"
-	"github.com/bramleylever/bramleylever/internal/recovery"
 )
 
 // promotionPlan is what a promotion is based on.
@@ -29,11 +28,12 @@
 func (r *Runner) promote(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot, primary *catalog.Server, reason Reason) {
 	started := r.now()
 	var plan promotionPlan
+	state.history.required = syncReplicas(snapshot, service) > 0
 	err := r.loadHistory(ctx, service, &state.history)
 	if err == nil {
 		plan, err = r.plan(ctx, service, state, snapshot, primary)
 	}
-	plan.planned = reason == Draining || reason == Evacuated
+	plan.planned = reason.isPlanned()
 	switch {
 	case err != nil:
 	case plan.target == nil:
@@ -116,42 +116,13 @@
 	return r.options.Promoter.Promote(ctx, service, id, r.options.Host, token)
 }
 
-// plan asks all candidates for their received position and chooses the most advanced
-// one. The target is nil if an instance leads a newer term than the closed ones
-// already. If replicas confirm commits, it pauses the candidates, so that they confirm none
-// after they were compared.
-func (r *Runner) plan(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot, primary *catalog.Server) (promotionPlan, error) {
-	sync := 0
-	if s := snapshot.Service(service); s != nil {
-		sync = s.SyncReplicas
-	}
-	all := eligibleCandidates(snapshot, service, primary)
-	if sync > 0 {
-		// A pause without an answer may be in force too.
-		state.paused = all
-	}
-	reports := r.queryCandidates(ctx, all, sync > 0)
-	closed := r.options.Terms.Closed(service)
-	for i := range reports {
-		if !r.options.Fenced() && reports[i].Primary && reports[i].Epoch > closed {
-			return promotionPlan{}, nil
-		}
-	}
-	plan := promotionPlan{epoch: max(newestEpoch(reports), r.options.LeaderEpoch(service), closed)}
-	state.history.observe(plan.epoch)
-	replicas := len(snapshot.Groups[service]) - 1
-	target, err := r.pendingFirst(state, reports)
-	if err == nil && target != nil {
-		err = r.checkNewestTerm(service, state, target)
-	}
-	if err != nil {
-		return plan, err
-	}
-	if target != nil && coversAcknowledged(len(reports), replicas, sync) {
-		plan.target = target
-		return plan, nil
+// mayBePaused reports whether the pause of an instance may be in force still. A restart ends
+// it.
+func (s *serviceState) mayBePaused(server *catalog.Server, snapshot *catalog.Snapshot) bool {
+	if current := snapshot.Servers[server.ID]; current != nil {
+		return current.Started == server.Started
 	}
-	return plan, fmt.Errorf("%d of %d replicas answered: %w", len(reports), replicas, ErrNotReady)
+	return slices.ContainsFunc(s.members.stored, func(m Member) bool { return m.isProcess(server) })
 }
 
 // resumeRetryDelay is how long a candidate that could not be resumed is left alone.
@@ -171,8 +142,7 @@
 	defer cancel()
 	var left []*catalog.Server
 	for _, server := range state.paused {
-		if current := snapshot.Servers[server.ID]; current == nil || current.Started != server.Started {
-			// A restart ends the pause.
+		if !state.mayBePaused(server, snapshot) {
 			continue
 		}
 		if err := r.options.Inspector.Resume(ctx, server); err != nil {
@@ -186,50 +156,3 @@
 		state.resumeAfter = r.now().Add(resumeRetryDelay)
 	}
 }
-
-// pendingFirst returns the most advanced candidate. As long as an earlier order may be
-// carried out on a platform that does not check fencing tokens, only the instance
-// that it named may be ordered.
-func (r *Runner) pendingFirst(state *serviceState, reports []Candidate) (*Candidate, error) {
-	if r.options.Fenced() || state.pendingTarget == "" || !r.now().Before(state.pendingUntil) {
-		return mostAdvanced(reports, state.history.History), nil
-	}
-	for i := range reports {
-		if reports[i].Server.ID == state.pendingTarget {
-			return &reports[i], nil
-		}
-	}
-	return nil, fmt.Errorf("an order for %s may still be carried out: %w", state.pendingTarget, ErrNotReady)
-}
-
-// inspectTimeout bounds the wait for the replies of the candidates.
-const inspectTimeout = 350 * time.Millisecond
-
-// queryCandidates asks the candidates in parallel and returns those that replied.
-func (r *Runner) queryCandidates(ctx context.Context, servers []*catalog.Server, pause bool) []Candidate {
-	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
-	defer cancel()
-	ask := r.options.Inspector.Status
-	if pause {
-		ask = r.options.Inspector.Pause
-	}
-	var mu sync.Mutex
-	var reports []Candidate
-	var group sync.WaitGroup
-	for _, server := range servers {
-		group.Go(func() {
-			defer recovery.Contain("inspect candidate", nil)
-			report, err := ask(ctx, server)
-			if err != nil {
-				r.options.Log.Info("candidate did not report its position", zap.String(logging.FieldStep, "inspect"),
-					zap.String(logging.FieldInstance, server.ID), zap.Error(err))
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			reports = append(reports, report)
-		})
-	}
-	group.Wait()
-	return reports
-}
--- a/internal/promotion/promotion_test.go
+++ b/internal/promotion/promotion_test.go
@@ -44,8 +44,9 @@
 	orders []order
 	answer error
 	paused map[string]bool
-	// leads holds the terms that instances lead.
+	// leads holds the terms that instances lead, and epoch is the term that replicas know.
 	leads  map[string]uint64
+	epoch  uint64
 	fenced bool
 	terms  *fakeTerms
 	// leases holds the hosts' leases.
@@ -137,7 +138,7 @@
 	if !ok {
 		return Candidate{}, errors.New("silent")
 	}
-	return Candidate{Server: server, Received: p, Primary: w.leads[server.ID] > 0, Epoch: w.leads[server.ID]}, nil
+	return Candidate{Server: server, Received: p, Primary: w.leads[server.ID] > 0, Epoch: max(w.leads[server.ID], w.epoch)}, nil
 }
 
 // Pause implements Inspector.
@@ -171,8 +172,8 @@
 	}
 	w.memory = platformtest.NewMemory(func() time.Time { return w.now })
 	group := []*catalog.Server{
-		{ID: "p", Service: "x", Domain: "d0", Role: catalog.Primary},
-		{ID: "r1", Service: "x", Domain: "d1"}, {ID: "r2", Service: "x", Domain: "d2"},
+		{ID: "p", Service: "x", Address: "p:1", Domain: "d0", Role: catalog.Primary},
+		{ID: "r1", Service: "x", Address: "r1:1", Domain: "d1"}, {ID: "r2", Service: "x", Address: "r2:1", Domain: "d2"},
 	}
 	w.snapshot = &catalog.Snapshot{
 		Config:    &catalog.Config{Services: map[string]*catalog.Service{"x": {Name: "x", SyncReplicas: sync}}},
@@ -215,6 +216,15 @@
 	}
 }
 
+// restart replaces the hosts' memory.
+func (w *fakeFleet) restart() {
+	_, err := w.memory.Txn(context.Background(), platform.Txn{Deletes: []string{dutyPrefix + "x"}})
+	Expect(err).NotTo(HaveOccurred())
+	for _, r := range w.hosts {
+		delete(r.services, "x")
+	}
+}
+
 // run makes every host take a number of steps, one host after the other.
 func (w *fakeFleet) run(steps int) {
 	for range steps {
--- a/internal/promotion/runner.go
+++ b/internal/promotion/runner.go
@@ -122,6 +122,8 @@
 	options Options
 	now     func() time.Time
 	orders  metrics.Counter
+	// incomplete counts the promotions without a log that may have acknowledged commits.
+	incomplete metrics.Counter
 	// identity is the value of the duties of this process. A process of the same host
 	// before or after it has another one.
 	identity []byte
@@ -156,6 +158,9 @@
 	reason      Reason
 	reasonSince time.Time
 	turnDelay   time.Duration
+	// lostSince is since when the service has no primary that works, as far as this host
+	// knows; zero with one.
+	lostSince time.Time
 	// leaderlessSince is since when the newest term is closed without a known
 	// successor.
 	leaderlessSince time.Time
@@ -185,8 +190,10 @@
 	// closedEpoch is the newest term of which this host knows that no host uses its
 	// leader.
 	closedEpoch uint64
-	// history is what this host knows of the service's terms.
+	// history is what this host knows of the service's terms, and members of the instances
+	// that may hold its acknowledged commits.
 	history termHistory
+	members memberRecord
 }
 
 // New returns a runner; Run starts it.
@@ -198,6 +205,8 @@
 		options: o, now: time.Now, spawn: recovery.Go, services: map[string]*serviceState{},
 		identity: fmt.Appendf(nil, "%s %016x", o.Host, rand.Uint64()),
 		orders:   metrics.GetOrRegisterCounter("promotion.orders_count", o.Registry),
+
+		incomplete: metrics.GetOrRegisterCounter("promotion.incomplete_count", o.Registry),
 	}
 }
 
@@ -263,6 +272,7 @@
 
 // step checks the primary of one service and replaces it if there is a reason.
 func (r *Runner) step(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot) {
+	defer r.maintainMembers(ctx, service, state, snapshot)
 	defer r.resumePaused(ctx, service, state, snapshot)
 	r.observeGeneration()
 	r.checkDuty(ctx, service, state)
@@ -277,14 +287,14 @@
 	if reason != state.reason {
 		state.reason, state.reasonSince, state.turnDelay = reason, now, r.turnDelay()
 	}
+	state.observePrimary(primary, reason, now)
 	if reason == NoReason || !r.isTurn(service, state, now) {
 		return
 	}
 	if state.orderedInstance != "" && now.Before(state.retryAt) {
 		return
 	}
-	unplanned := reason != Draining && reason != Evacuated
-	if unplanned && now.Sub(state.promotedAt) < minPromotionInterval {
+	if !reason.isPlanned() && now.Sub(state.promotedAt) < minPromotionInterval {
 		return
 	}
 	if reason == Unreachable && r.waitsForCoordinators(service, state, primary) {
@@ -299,6 +309,16 @@
 	r.promote(ctx, service, state, snapshot, primary, reason)
 }
 
+// observePrimary takes note of whether a primary works.
+func (s *serviceState) observePrimary(primary *catalog.Server, reason Reason, now time.Time) {
+	switch {
+	case primary != nil && (reason == NoReason || reason.isPlanned()):
+		s.lostSince = time.Time{}
+	case s.lostSince.IsZero():
+		s.lostSince = now
+	}
+}
+
 // isTurn reports whether this host may act on the reason to replace a primary. Each
 // attempt to take the duty is a call to the store, and in a large fleet most hosts notice
 // the reason at the same time. So for a reason that all hosts see, one host acts first
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	peerv1 "github.com/bramleylever/bramleylever/api/peer/v1"
+	"github.com/bramleylever/bramleylever/internal/catalog"
 	"github.com/bramleylever/bramleylever/internal/connpool"
 	"github.com/bramleylever/bramleylever/internal/outcome"
 	"github.com/bramleylever/bramleylever/internal/statement"
@@ -46,6 +47,19 @@
 		Expect(time.Since(started)).To(BeNumerically("<", pairAvoidTime))
 	})
 
+	// Guards against an instance whose log a promotion needs and that no host reaches, because
+	// its connection owners do not know an instance that is not registered.
+	It("reaches an instance that is not registered directly", func() {
+		f := newFleet()
+		gone := &catalog.Server{ID: "i2", Service: "x", Domain: "d0", Address: "i2:1"}
+		handle, err := f.routers[3].Acquire(context.Background(), gone, connpool.Request{Account: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		defer handle.Release()
+		answer, err := handle.Do(time.Now().Add(time.Second), connpool.Work{Statements: []statement.Statement{{Kind: statement.Status}}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Results[0].Signature).To(Equal("h3"))
+	})
+
 	// Guards against every host keeping its own connections: an instance accepts 22
 	// connections, which 9 hosts with 8 accounts exceeded many times over.
 	It("runs an account's work from all hosts at one owner in the instance's failure domain", func() {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -243,8 +243,11 @@
 }
 
 // Acquire implements connpool.Source. A relayed connection is opened when its first work
-// is sent.
+// is sent. An instance that is not registered is known to no owner and so reached directly.
 func (r *Router) Acquire(ctx context.Context, server *catalog.Server, request connpool.Request) (connpool.Handle, error) {
+	if snapshot := r.options.Catalog(); snapshot.Servers[server.ID] == nil {
+		return r.options.Pool.AcquireHandle(ctx, server, request, r.connLimit(snapshot, server))
+	}
 	owner, ok := r.owner(server, request.Account)
 	if ok && owner.Name != r.options.Self {
 		r.relayed.Inc(1)
--- a/position/history.go
+++ b/position/history.go
@@ -90,6 +90,12 @@
 	return len(h) == 0 || h[len(h)-1].Term.Less(end.Term) || h.Contains(end)
 }
 
+// Reaches reports whether a log that ends at end is part of the history and has every entry
+// with which the last listed term began.
+func (h History) Reaches(end Position) bool {
+	return h.Includes(end) && (len(h) == 0 || end.LSN >= h[len(h)-1].Start)
+}
+
 // CompareEnds orders logs by their ends, for the choice of the next primary: -1, 0 or 1 if
 // the log that ends at a is behind, equal to or ahead of the one that ends at b. A log
 // whose end the history does not include is behind every log that is part of it, however
