--- a/internal/promotion/members_record.go
+++ b/internal/promotion/members_record.go
@@ -24,7 +24,7 @@
 	memberCheckInterval = 500 * time.Millisecond
 	maxMembersAge       = time.Second
 	// minMemberRetry and maxMemberRetry bound the exponential backoff between two attempts to
-	// make the changes that the list needs.
+	// make a change that the list needs.
 	minMemberRetry = time.Second
 	maxMemberRetry = 8 * time.Second
 	// lostMemberWait is how long a service without a working primary waits for the logs of
@@ -44,10 +44,28 @@
 	// remembered is the list of an earlier generation of the store, until it is written again.
 	remembered memberList
 	checkAfter time.Time
-	// changeAt is when this host makes the changes that it found necessary, and retry the
-	// time until the attempt after that; zero without a change.
-	changeAt time.Time
-	retry    time.Duration
+	// adding and retiring schedule the attempts to change the list.
+	adding, retiring backoff
+}
+
+// backoff schedules the attempts at a task.
+type backoff struct {
+	next  time.Time
+	delay time.Duration
+}
+
+// isDue reports whether an attempt is due, and schedules the one after it. The first one
+// follows after the given time.
+func (b *backoff) isDue(now time.Time, first time.Duration) bool {
+	if b.next.IsZero() {
+		b.next = now.Add(first)
+	}
+	if now.Before(b.next) {
+		return false
+	}
+	b.delay = min(maxMemberRetry, max(minMemberRetry, 2*b.delay))
+	b.next = now.Add(b.delay)
+	return true
 }
 
 func (m *memberRecord) exists() bool { return len(m.stored)+len(m.remembered) > 0 }
@@ -128,7 +146,7 @@
 	m.checkAfter = now.Add(memberCheckInterval)
 	if m.readAt.IsZero() || m.generation != r.options.Store.Generation() {
 		if err := r.loadMembers(ctx, service, m); err != nil {
-			r.logMembersError(service, err)
+			r.logMembersFailure(service, err)
 			return
 		}
 	}
@@ -138,39 +156,49 @@
 		// The list would lack the leader of the newest term.
 		return
 	}
-	list := m.with(group)
-	isMissing := len(m.stored.missingFrom(snapshot)) > 0
-	if slices.Equal(list, m.stored) && !isMissing {
-		m.changeAt, m.retry = time.Time{}, 0
-		return
-	}
-	if m.changeAt.IsZero() {
-		// Another host may make the same change first.
-		m.changeAt = now.Add(time.Duration(r.options.Rank(service))*turnInterval + r.turnDelay())
-	}
-	if now.Before(m.changeAt) {
-		return
+	// Another host may make the same change first.
+	turn := time.Duration(r.options.Rank(service))*turnInterval + r.turnDelay()
+	var err error
+	switch {
+	case !slices.Equal(m.with(group), m.stored):
+		if m.adding.isDue(now, turn) {
+			err = r.addMembers(ctx, service, m, group)
+		}
+	case len(m.stored.missingFrom(snapshot)) > 0:
+		m.adding = backoff{}
+		if m.retiring.isDue(now, turn) {
+			err = r.retireMembers(ctx, service, state, snapshot, sync)
+		}
+	default:
+		m.adding, m.retiring = backoff{}, backoff{}
 	}
-	m.retry = min(maxMemberRetry, max(minMemberRetry, 2*m.retry))
-	m.changeAt = now.Add(m.retry + r.turnDelay())
-	if err := r.changeMembers(ctx, service, state, snapshot, sync); err != nil {
-		r.logMembersError(service, err)
+	if err != nil {
+		r.logMembersFailure(service, err)
 	}
 }
 
-func (r *Runner) logMembersError(service string, err error) {
+func (r *Runner) logMembersFailure(service string, err error) {
 	r.options.Log.Warn("could not maintain the members of a service", zap.String(logging.FieldStep, "members"),
 		zap.String("service", service), zap.Error(err))
 }
 
-// changeMembers makes the changes that the stored list needs.
-func (r *Runner) changeMembers(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot, sync int) error {
-	m := &state.members
+// addMembers adds the registered servers to the stored list.
+func (r *Runner) addMembers(ctx context.Context, service string, m *memberRecord, group []*catalog.Server) error {
 	if err := r.loadMembers(ctx, service, m); err != nil {
 		return err
 	}
-	if list := m.with(snapshot.Groups[service]); !slices.Equal(list, m.stored) {
-		return r.writeMembers(ctx, service, m, list)
+	list := m.with(group)
+	if slices.Equal(list, m.stored) {
+		return nil
+	}
+	return r.writeMembers(ctx, service, m, list)
+}
+
+// retireMembers retires the members that are gone.
+func (r *Runner) retireMembers(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot, sync int) error {
+	m := &state.members
+	if err := r.loadMembers(ctx, service, m); err != nil {
+		return err
 	}
 	gone, err := r.goneMembers(ctx, service, state, snapshot, sync)
 	if err != nil || len(gone) == 0 {
--- a/internal/promotion/members_test.go
+++ b/internal/promotion/members_test.go
@@ -1,6 +1,7 @@
 package promotion
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -183,6 +184,23 @@
 		Expect(w.promoted()).To(BeEmpty())
 	})
 
+	// Guards against a new instance that confirms commits and is not listed, because the list
+	// is changed rarely while a member is missing.
+	It("include that of a new instance soon after it registered", func() {
+		w := newSyncFleet()
+		w.lose("r2")
+		w.runFor(4 * maxMemberRetry)
+		w.received["r3"] = at(100)
+		w.register(&catalog.Server{ID: "r3", Service: "x", Address: "r3:1", Domain: "d1"})
+		w.runFor(2 * memberCheckInterval)
+		w.silence("r3")
+		w.unregister("r3")
+		w.received["r2"] = at(90)
+		w.silence("p")
+		w.runFor(lostMemberWait / 2)
+		Expect(w.promoted()).To(BeEmpty())
+	})
+
 	// Guards against the loss of commits that a member confirmed after it was left out,
 	// because it reached neither the store nor the hosts for a while.
 	It("include that of a member which was left out, if it answers", func() {
@@ -194,6 +212,10 @@
 		w.silence("p")
 		w.runFor(3 * time.Second)
 		Expect(w.promoted()).To(Equal("r2"))
+		// As the leader it is one of those whose logs count.
+		m := &memberRecord{}
+		Expect(w.hosts[0].loadMembers(context.Background(), "x", m)).To(Succeed())
+		Expect(m.stored).To(ContainElement(Member{ID: "r2", Address: "r2:1", Domain: "d2"}))
 	})
 
 	// Guards against the loss of commits that only an instance has to which no work may be
@@ -229,16 +251,19 @@
 	})
 
 	// Guards against a process that has started again and counts as the one whose log is gone.
-	It("do not include that of a process which started again under the same id", func() {
+	DescribeTable("do not include that of a process which started again under the same id", func(started int64) {
 		w := newSyncFleet()
 		w.silence("p")
 		w.received["r2"] = position.Position{}
-		w.register(&catalog.Server{ID: "r2", Service: "x", Address: "r2:1", Domain: "d2", Started: 5})
+		w.register(&catalog.Server{ID: "r2", Service: "x", Address: "r2:1", Domain: "d2", Started: started})
 		w.runFor(lostMemberWait / 2)
 		Expect(w.promoted()).To(BeEmpty())
 		w.runFor(lostMemberWait)
 		Expect(w.promoted()).To(Equal("r1"))
-	})
+	},
+		Entry("and has registered", int64(5)),
+		Entry("and has not registered yet", int64(0)),
+	)
 
 	// Guards against the loss of commits of an earlier term: the primary that had them has
 	// failed before any replica got them.
--- a/internal/promotion/plan.go
+++ b/internal/promotion/plan.go
@@ -56,33 +56,9 @@
 	return plan, err
 }
 
-// planConfirmed chooses the next primary of a service whose replicas confirm commits. It asks
-// every member that may hold an acknowledged commit. Once the logs of those that answer must
-// include all of these, it pauses them, so that they confirm none after they were compared.
+// planConfirmed chooses the next primary of a service whose replicas confirm commits.
 func (r *Runner) planConfirmed(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot, primary *catalog.Server) (promotionPlan, error) {
-	members, recorded, err := r.currentMembers(ctx, service, state, snapshot)
-	if err != nil {
-		return promotionPlan{}, err
-	}
-	c := &comparison{
-		snapshot: snapshot, members: members, recorded: recorded, primary: primary, sync: syncReplicas(snapshot, service),
-		expired: !state.lostSince.IsZero() && r.now().Sub(state.lostSince) >= lostMemberWait, planned: state.reason.isPlanned(),
-	}
-	c.reports = r.queryCandidates(ctx, members.servers(service, snapshot, primary), r.options.Inspector.Status)
-	plan, err := r.newPlan(service, state, c.reports)
-	if err == nil {
-		err = c.check()
-	}
-	if err != nil {
-		return plan, err
-	}
-	leaders, replicas := splitLeaders(c.reports)
-	// A pause without an answer may be in force too.
-	state.paused = servers(replicas)
-	c.reports = append(r.queryCandidates(ctx, state.paused, r.options.Inspector.Pause), leaders...)
-	if plan, err = r.newPlan(service, state, c.reports); err == nil {
-		err = c.check()
-	}
+	c, plan, err := r.compareLogs(ctx, service, state, snapshot, primary)
 	if err != nil {
 		return plan, err
 	}
@@ -106,6 +82,40 @@
 	return plan, err
 }
 
+// compareLogs asks every member that may hold an acknowledged commit. Once the logs of those
+// that answer must include all of these, it pauses them, so that they confirm none after they
+// were compared.
+func (r *Runner) compareLogs(ctx context.Context, service string, state *serviceState, snapshot *catalog.Snapshot, primary *catalog.Server) (*comparison, promotionPlan, error) {
+	members, recorded, err := r.currentMembers(ctx, service, state, snapshot)
+	if err != nil {
+		return nil, promotionPlan{}, err
+	}
+	c := &comparison{
+		snapshot: snapshot, members: members, recorded: recorded, primary: primary, sync: syncReplicas(snapshot, service),
+		expired: state.isLostFor(lostMemberWait, r.now()), planned: state.reason.isPlanned(),
+	}
+	c.reports = r.queryCandidates(ctx, members.servers(service, snapshot, primary), r.options.Inspector.Status)
+	plan, err := r.checkReports(service, state, c)
+	if err != nil {
+		return nil, plan, err
+	}
+	leaders, replicas := splitLeaders(c.reports)
+	// A pause without an answer may be in force too.
+	state.paused = servers(replicas)
+	c.reports = append(r.queryCandidates(ctx, state.paused, r.options.Inspector.Pause), leaders...)
+	plan, err = r.checkReports(service, state, c)
+	return c, plan, err
+}
+
+// checkReports returns a plan without a target, and an error unless the reports suffice.
+func (r *Runner) checkReports(service string, state *serviceState, c *comparison) (promotionPlan, error) {
+	plan, err := r.newPlan(service, state, c.reports)
+	if err == nil {
+		err = c.check()
+	}
+	return plan, err
+}
+
 // newPlan returns a plan without a target, based on the terms that the reports name.
 func (r *Runner) newPlan(service string, state *serviceState, reports []Candidate) (promotionPlan, error) {
 	closed := r.options.Terms.Closed(service)
