--- a/internal/promotion/members_test.go
+++ b/internal/promotion/members_test.go
@@ -96,6 +96,17 @@
 	w.orders = nil
 }
 
+// What may have happened to the hosts and the store before a promotion.
+var (
+	sameHosts     = Entry("with the same hosts", func(*syncFleet) {})
+	newHosts      = Entry("with hosts that have just started", func(w *syncFleet) { w.restart() })
+	restoredStore = Entry("in a store restored from a copy without the members", func(w *syncFleet) { w.restore(w.empty) })
+	noRecord      = Entry("with hosts that have just started and no record", func(w *syncFleet) {
+		w.restore(w.empty)
+		w.restart()
+	})
+)
+
 var _ = Describe("The logs that a promotion compares where replicas confirm commits", func() {
 	// Guards against the loss of commits once the entry of the crashed primary has left the
 	// store: one answer of two replicas was taken for all that were needed.
@@ -110,13 +121,7 @@
 		w.runFor(5 * time.Second)
 		Expect(w.promoted()).To(Equal("r2"))
 	},
-		Entry("with the same hosts", func(*syncFleet) {}),
-		Entry("with hosts that have just started", func(w *syncFleet) { w.restart() }),
-		Entry("in a store restored from a copy without the members", func(w *syncFleet) { w.restore(w.empty) }),
-		Entry("with hosts that have just started and no record", func(w *syncFleet) {
-			w.restore(w.empty)
-			w.restart()
-		}),
+		sameHosts, newHosts, restoredStore, noRecord,
 	)
 
 	// Guards against the loss of commits of a replica whose entry the store has lost as well.
@@ -133,9 +138,7 @@
 		w.runFor(5 * time.Second)
 		Expect(w.promoted()).To(Equal("r2"))
 	},
-		Entry("with the same hosts", func(*syncFleet) {}),
-		Entry("with hosts that have just started", func(w *syncFleet) { w.restart() }),
-		Entry("in a store restored from a copy without the members", func(w *syncFleet) { w.restore(w.empty) }),
+		sameHosts, newHosts, restoredStore,
 	)
 
 	// Guards against a service that never gets a primary again, because a member that holds
@@ -149,12 +152,7 @@
 		w.runFor(lostMemberWait + 5*time.Second)
 		Expect(w.promoted()).To(Equal("r1"))
 	},
-		Entry("with the same hosts", func(*syncFleet) {}),
-		Entry("with hosts that have just started", func(w *syncFleet) { w.restart() }),
-		Entry("with hosts that have just started and no record", func(w *syncFleet) {
-			w.restore(w.empty)
-			w.restart()
-		}),
+		sameHosts, newHosts, noRecord,
 	)
 
 	// Guards against a wait for a member that was lost while the primary worked: others hold
@@ -170,8 +168,7 @@
 		w.runFor(3 * time.Second)
 		Expect(w.promoted()).To(Equal("r1"))
 	},
-		Entry("with the same hosts", func(*syncFleet) {}),
-		Entry("with hosts that have just started", func(w *syncFleet) { w.restart() }),
+		sameHosts, newHosts,
 	)
 
 	// Guards against a member that is left out although nobody else has its commits.
