Known red: replicas that a killed host had paused stay paused

Cause: the holder of a promotion duty keeps in its memory alone which candidates it has paused. If it is killed before it resumes them, and the primary goes on, nobody resumes them: with sync_replicas no commit is confirmed any more.

No product code changed.

--- a/internal/promotion/paused_test.go
+++ b/internal/promotion/paused_test.go
@@ -1,7 +1,11 @@
 package promotion
 
 import (
+	"context"
 	"errors"
+	"slices"
+	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -55,3 +59,22 @@
 		Expect(w.paused).To(BeEmpty())
 	})
 })
+
+// Guards against commits that are never confirmed again: the host that paused the replicas for
+// a promotion is killed before it resumes them, and the primary goes on.
+func TestPausedReplicasOfKilledHostAreResumed(t *testing.T) {
+	RegisterTestingT(t)
+	w := newFakeFleet(5, 1)
+	w.answer = errors.New("no answer")
+	for _, name := range []string{"h0", "h1", "h2"} {
+		w.failing[name] = true
+	}
+	w.run(10)
+	Expect(w.paused).NotTo(BeEmpty())
+	killed := w.orders[0].holder
+	Expect(w.memory.RevokeLease(context.Background(), w.leases[killed])).To(Succeed())
+	w.hosts = slices.DeleteFunc(w.hosts, func(r *Runner) bool { return r.options.Host == killed })
+	clear(w.failing)
+	w.run(int(time.Minute / tickInterval))
+	Expect(w.paused).To(BeEmpty())
+}
