review: case 13, a transaction goes on for the account that had the key before

Cause: inside a transaction the key is only checked for being withdrawn; the account that a newer configuration gives it to is not compared with that of the transaction.

Change: a script that moves a key while transactions are open.

--- a/review/standin3/gateways.go
+++ b/review/standin3/gateways.go
@@ -130,8 +130,13 @@
 	return r.group.name
 }
 
-// configure writes a configuration with two client accounts.
+// configure writes a configuration with two client accounts, each with a key.
 func (f *fleet) configure(version int, routes ...route) {
+	f.configureKeys(version, map[string][]string{"alpha": {"key-alpha"}, "beta": {"key-beta"}}, routes...)
+}
+
+// configureKeys writes a configuration with the keys of each client account.
+func (f *fleet) configureKeys(version int, keys map[string][]string, routes ...route) {
 	list := []map[string]any{}
 	for _, r := range routes {
 		list = append(list, map[string]any{
@@ -142,7 +147,7 @@
 	tenants := []map[string]any{}
 	for _, name := range []string{"alpha", "beta"} {
 		tenants = append(tenants, map[string]any{
-			"name": name, "api_" + "keys": []string{"key-" + name}, "rate_per_s": 5000, "burst": 5000, "priority": 1,
+			"name": name, "api_" + "keys": keys[name], "rate_per_s": 5000, "burst": 5000, "priority": 1,
 		})
 	}
 	services := []map[string]any{}
--- a/review/standin3/group.go
+++ b/review/standin3/group.go
@@ -64,6 +64,8 @@
 	at   time.Time
 	id   string
 	text string
+	// tenant is the client account that the instance was told at STARTUP.
+	tenant string
 }
 
 // receiveTime is how long a commit takes to a replica.
@@ -345,7 +347,7 @@
 		}
 		in.group.mu.Lock()
 		if parts[1] != "-" {
-			in.arrivals = append(in.arrivals, arrival{time.Now(), parts[1], parts[2]})
+			in.arrivals = append(in.arrivals, arrival{time.Now(), parts[1], parts[2], fields[2]})
 		}
 		answer := c.run(parts[1], parts[2])
 		state := "I"
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -25,6 +25,7 @@
 	"lost-commit": lostCommit,
 	"late-work":   lateWork,
 	"new-replica": newReplica,
+	"moved-key":   movedKey,
 	"long-keys":   longKeys,
 }
 
--- a/review/standin3/wire.go
+++ b/review/standin3/wire.go
@@ -10,8 +10,15 @@
 )
 
 func readLine(r *bufio.Reader) (string, error) {
-	line, err := r.ReadString('\n')
-	return strings.TrimSuffix(line, "\r\n"), err
+	line := ""
+	for {
+		// A line feed by itself is part of a field.
+		part, err := r.ReadString('\n')
+		line += part
+		if err != nil || strings.HasSuffix(line, "\r\n") {
+			return strings.TrimSuffix(line, "\r\n"), err
+		}
+	}
 }
 
 func readFields(r *bufio.Reader) ([]string, error) {
