review: the stand-ins end their gateways on a signal

Cause: a run that was ended from outside left its gateways running.

Change: the driver of the cases ends them on a signal and after 110 s.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -7,7 +7,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -39,6 +41,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(cannotRun)
 	}
+	go endEarly(r)
 	broken, err := testCases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
 	killGateways()
 	switch {
@@ -56,6 +59,22 @@
 	os.Exit(ruleHeld)
 }
 
+// maxRunTime is the longest time that a case may take.
+const maxRunTime = 110 * time.Second
+
+// endEarly ends the gateways and the run on a signal, or when the case takes too long.
+func endEarly(r *record) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case <-signals:
+	case <-time.After(maxRunTime):
+	}
+	r.say("the case could not run: it was ended early")
+	killGateways()
+	os.Exit(cannotRun)
+}
+
 // record is the protocol of a run. Its times are seconds since the start.
 type record struct {
 	mu    sync.Mutex
